--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds taken from the stated targets."""
--- /dev/null
+++ b/eelgrassknot/logs.py
@@ -0,0 +1,62 @@
+"""One line of key=value pairs for each event, by way of absl."""
+
+import json
+import sys
+
+from absl import logging
+
+__all__ = ['configure', 'error', 'event', 'format_pairs', 'warning']
+
+_PLAIN_CHARACTERS = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/,+@'
+)
+
+
+def configure(level: str) -> None:
+    """Send log lines at and above a level to standard error.
+
+    Args:
+        level: One of ``debug``, ``info``, ``warning`` and ``error``.
+    """
+    logging.use_absl_handler()
+    logging.get_absl_handler().python_handler.stream = sys.stderr
+    logging.set_verbosity(level)
+
+
+def format_pairs(name: str, pairs: dict[str, object]) -> str:
+    """Return one line that names an event and its facts.
+
+    Args:
+        name: Name of the event.
+        pairs: Facts, in the order in which they are to be shown.
+
+    Example:
+        >>> format_pairs('started', {'vm': 'nadi-1', 'why': 'a b'})
+        'event=started vm=nadi-1 why="a b"'
+    """
+    parts = [f'event={name}']
+    parts += [f'{key}={_quote(value)}' for key, value in pairs.items()]
+    return ' '.join(parts)
+
+
+def event(name: str, **pairs: object) -> None:
+    """Log an ordinary event."""
+    if logging.level_info():
+        logging.info('%s', format_pairs(name, pairs))
+
+
+def warning(name: str, **pairs: object) -> None:
+    """Log an event that an operator should look at."""
+    logging.warning('%s', format_pairs(name, pairs))
+
+
+def error(name: str, **pairs: object) -> None:
+    """Log an event that an operator has to act on."""
+    logging.error('%s', format_pairs(name, pairs))
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if text and _PLAIN_CHARACTERS.issuperset(text):
+        return text
+    return json.dumps(text)
--- /dev/null
+++ b/eelgrassknot/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform, and plug-ins that reach it."""
--- /dev/null
+++ b/eelgrassknot/platforms/http.py
@@ -0,0 +1,258 @@
+"""Platform by HTTP and JSON."""
+
+import collections.abc
+import typing
+import urllib.parse
+
+import msgspec
+import result
+
+from eelgrassknot import exceptions
+from eelgrassknot import http_client
+from eelgrassknot import ids
+from eelgrassknot.platforms import base
+
+__all__ = ['HttpObjects', 'HttpTable', 'HttpVmList', 'create']
+
+READ_TIMEOUT_MS = 2_000
+WRITE_TIMEOUT_MS = 3_000
+
+_CONFLICTS = (409, 412)
+
+
+class _Transaction(msgspec.Struct):
+    id: str
+    conditions: collections.abc.Sequence[base.Condition]
+    writes: collections.abc.Sequence[base.Write]
+
+
+class _RowAnswer(msgspec.Struct):
+    value: typing.Any
+    version: int
+
+
+class _Rows(msgspec.Struct):
+    rows: list[base.Row]
+
+
+class _FailedRow(msgspec.Struct):
+    table: str
+    key: str
+    version: int | None
+
+
+class _Failed(msgspec.Struct):
+    failed: _FailedRow
+
+
+class _Keys(msgspec.Struct):
+    keys: list[str]
+
+
+class _Vms(msgspec.Struct):
+    vms: list[base.VmEntry]
+
+
+Answer = typing.TypeVar('Answer')
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe='')
+
+
+def _decode(
+    body: bytes, kind: type[Answer]
+) -> result.Result[Answer, exceptions.MalformedAnswerError]:
+    try:
+        return result.Ok(msgspec.json.decode(body, type=kind))
+    except msgspec.MsgspecError as error:
+        return result.Err(
+            exceptions.MalformedAnswerError(
+                f'the platform answered what cannot be read: {error}',
+                'check that the platform URL is right',
+            )
+        )
+
+
+def _unavailable(reason: object) -> exceptions.PlatformUnavailableError:
+    return exceptions.PlatformUnavailableError(
+        f'the platform did not serve the request: {reason}',
+        'check the platform and its address, then try again',
+    )
+
+
+def _unknown(reason: object) -> exceptions.UnknownOutcomeError:
+    return exceptions.UnknownOutcomeError(
+        f'the platform gave no clear answer: {reason}',
+        'read back what was written before acting on it',
+    )
+
+
+class _Client:
+    """Reads that are alike for all services of the platform.
+
+    Args:
+        url: Base URL of the platform.
+    """
+
+    def __init__(self, url: str) -> None:
+        self.url = url.rstrip('/')
+
+    def _read(
+        self, path: str, kind: type[Answer]
+    ) -> result.Result[Answer | None, base.PlatformError]:
+        match self._get(path):
+            case result.Ok(None):
+                return result.Ok(None)
+            case result.Ok(body):
+                return _decode(body, kind)
+            case error:
+                return error
+
+    def _get(
+        self, path: str
+    ) -> result.Result[bytes | None, base.PlatformError]:
+        answer = http_client.request(
+            'GET', self.url + path, timeout_ms=READ_TIMEOUT_MS
+        )
+        match answer:
+            case result.Ok(http_client.HttpAnswer(status=200, body=body)):
+                return result.Ok(body)
+            case result.Ok(http_client.HttpAnswer(status=404)):
+                return result.Ok(None)
+            case result.Ok(other):
+                return result.Err(_unavailable(f'status {other.status}'))
+            case result.Err(error):
+                return result.Err(_unavailable(error.message))
+
+    def _write(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+    ) -> result.Result[http_client.HttpAnswer, base.PlatformError]:
+        answer = http_client.request(
+            method,
+            self.url + path,
+            body,
+            headers,
+            timeout_ms=WRITE_TIMEOUT_MS,
+        )
+        match answer:
+            case result.Err(error) if not error.bytes_left:
+                return result.Err(_unavailable(error.message))
+            case result.Err(error):
+                return result.Err(_unknown(error.message))
+            case result.Ok(done) if done.status >= 500:
+                return result.Err(_unknown(f'status {done.status}'))
+            case _:
+                return answer
+
+
+class HttpTable(_Client):
+    """The platform's transactional table."""
+
+    def transact(
+        self,
+        change: ids.ChangeId,
+        conditions: collections.abc.Sequence[base.Condition],
+        writes: collections.abc.Sequence[base.Write],
+    ) -> result.Result[base.Versions, base.TransactionError]:
+        """Write all rows if all conditions hold, else none."""
+        body = msgspec.json.encode(_Transaction(change, conditions, writes))
+        headers = {'Content-Type': 'application/json'}
+        answer = self._write('POST', '/transactions', body, headers)
+        match answer:
+            case result.Ok(http_client.HttpAnswer(status=200, body=body)):
+                return _decode(body, base.Versions)
+            case result.Ok(http_client.HttpAnswer(status=409, body=body)):
+                return _decode(body, _Failed).and_then(_conflict)
+            case result.Ok(other):
+                return result.Err(_unavailable(f'status {other.status}'))
+            case _:
+                return answer
+
+    def read_row(
+        self, table: str, key: str
+    ) -> result.Result[base.Row | None, base.PlatformError]:
+        """Return a row, or None if it is absent."""
+        path = f'/rows/{_quote(table)}/{_quote(key)}'
+        return self._read(path, _RowAnswer).map(
+            lambda row: row and base.Row(key, row.value, row.version)
+        )
+
+    def list_rows(
+        self, table: str, prefix: str = '', after: str = '', limit: int = 1000
+    ) -> result.Result[list[base.Row], base.PlatformError]:
+        """Return rows in the order of their keys."""
+        query = urllib.parse.urlencode(
+            {'prefix': prefix, 'after': after, 'limit': limit}
+        )
+        path = f'/rows/{_quote(table)}?{query}'
+        return self._read(path, _Rows).map(
+            lambda answer: answer.rows if answer else []
+        )
+
+
+class HttpObjects(_Client):
+    """The platform's object store."""
+
+    def put(
+        self, key: str, body: bytes, only_if_absent: bool = False
+    ) -> result.Result[None, base.TransactionError]:
+        """Store an object."""
+        headers = {'If-None-Match': '*'} if only_if_absent else {}
+        answer = self._write('PUT', f'/objects/{_quote(key)}', body, headers)
+        match answer:
+            case result.Ok(done) if done.status in _CONFLICTS:
+                error = exceptions.RowConflictError('objects', key, None)
+                return result.Err(error)
+            case result.Ok(done) if done.status >= 300:
+                return result.Err(_unavailable(f'status {done.status}'))
+            case _:
+                return answer.map(lambda _: None)
+
+    def get(self, key: str) -> result.Result[bytes | None, base.PlatformError]:
+        """Return an object, or None if it is absent."""
+        return self._get(f'/objects/{_quote(key)}')
+
+    def delete(self, key: str) -> result.Result[None, base.PlatformError]:
+        """Remove an object if it is there."""
+        answer = self._write('DELETE', f'/objects/{_quote(key)}', None, {})
+        return answer.map(lambda _: None)
+
+    def list_keys(
+        self, prefix: str
+    ) -> result.Result[list[str], base.PlatformError]:
+        """Return the keys that begin with a prefix."""
+        path = f'/objects?prefix={_quote(prefix)}'
+        return self._read(path, _Keys).map(
+            lambda answer: answer.keys if answer else []
+        )
+
+
+class HttpVmList(_Client):
+    """The platform's list of VMs."""
+
+    def list_vms(
+        self,
+    ) -> result.Result[list[base.VmEntry], base.PlatformError]:
+        """Return the list as the platform has it now."""
+        return self._read('/vms', _Vms).map(
+            lambda answer: answer.vms if answer else []
+        )
+
+
+def _conflict(
+    answer: _Failed,
+) -> result.Result[base.Versions, exceptions.RowConflictError]:
+    row = answer.failed
+    error = exceptions.RowConflictError(row.table, row.key, row.version)
+    return result.Err(error)
+
+
+@base.PLATFORMS.register('http')
+def create(url: str) -> base.Platform:
+    """Return the platform at a base URL."""
+    return base.Platform(HttpTable(url), HttpObjects(url), HttpVmList(url))
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems that the product is connected to."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
