Thin whole path: daemon, callers' and operators' listeners, engine relay

A caller's completion goes through the dispatcher to an engine and back as SSE or whole; a plain call goes to a service; the text is polled from the platform's table and config accept changes it by compare-and-swap.

--- /dev/null
+++ b/eelgrassknot/cli/main.py
@@ -0,0 +1,75 @@
+"""``eelgrassknot``: the operators' command line."""
+
+import getpass
+import pathlib
+import typing
+
+import result
+import typer
+
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot.platforms import base
+from eelgrassknot.platforms import http
+from eelgrassknot.settings import text as services_text
+
+__all__ = ['main']
+
+app = typer.Typer(no_args_is_help=True)
+config = typer.Typer(no_args_is_help=True)
+app.add_typer(config, name='config', help="The operators' text.")
+
+
+@app.callback()
+def options(
+    context: typer.Context,
+    platform: typing.Annotated[
+        str, typer.Option(help='Base URL of the platform.')
+    ] = '',
+) -> None:
+    """Look at the system and change its one text."""
+    context.obj = platform
+
+
+@config.command()
+def accept(context: typer.Context, file: pathlib.Path) -> None:
+    """Put a services text in force."""
+    document = file.read_text(encoding='utf-8')
+    try:
+        services_text.decode(document)
+    except exceptions.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    table = http.create(context.obj).table
+    match table.read_row('config', 'current'):
+        case result.Ok(row):
+            version = row.value['version'] if row else 0
+            before = row.version if row else None
+        case result.Err(error):
+            typer.echo(str(error), err=True)
+            raise typer.Exit(3)
+    value = {
+        'version': version + 1,
+        'document': document,
+        'author': getpass.getuser(),
+    }
+    answer = table.transact(
+        ids.ChangeId(ids.random_id()),
+        [base.Condition('config', 'current', before)],
+        [base.Write('config', 'current', value)],
+    )
+    match answer:
+        case result.Ok(_):
+            typer.echo(f'accepted version {version + 1}')
+        case result.Err(error):
+            typer.echo(str(error), err=True)
+            raise typer.Exit(3)
+
+
+def main() -> None:
+    """Entry point of ``eelgrassknot``."""
+    app()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/eelgrassknot/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, membership, leases and digests of many VMs."""
--- /dev/null
+++ b/eelgrassknot/daemon.py
@@ -0,0 +1,116 @@
+"""The daemon: every entry VM runs one."""
+
+import concurrent.futures
+import random
+import signal
+import sys
+import threading
+import typing
+
+import typer
+
+from eelgrassknot import clock as clocks
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot.kernel import hub as hubs
+from eelgrassknot.kernel import node as kernel_node
+from eelgrassknot.kernel import parts
+from eelgrassknot.kernel import registry
+from eelgrassknot import logs
+from eelgrassknot.platforms import base as platform_base
+from eelgrassknot.settings import vm as vm_settings
+from eelgrassknot import states
+
+__all__ = ['create_node', 'main', 'serve']
+
+EXECUTOR_THREADS = 16
+BALANCER_LAG_MS = 2_000
+
+_PLUGIN_PACKAGES = (
+    'eelgrassknot.platforms',
+    'eelgrassknot.upstreams',
+    'eelgrassknot.coordination',
+    'eelgrassknot.frontend',
+    'eelgrassknot.reporting',
+)
+
+
+def create_node(settings: vm_settings.VmSettings) -> kernel_node.Node:
+    """Return a node with all registered parts, not yet started.
+
+    Args:
+        settings: Settings of this VM.
+
+    Raises:
+        PluginError: If the platform's plug-in is not known.
+    """
+    for package in _PLUGIN_PACKAGES:
+        registry.load_plugins(package)
+    create_platform = platform_base.PLATFORMS.lookup(settings.platform.plugin)
+    node = kernel_node.Node(
+        settings=settings,
+        incarnation=ids.IncarnationId(ids.random_id()),
+        clock=clocks.MonotonicClock(),
+        generator=random.Random(ids.random_id()),
+        hub=hubs.Hub(),
+        executor=concurrent.futures.ThreadPoolExecutor(EXECUTOR_THREADS),
+        platform=create_platform(settings.platform.url),
+    )
+    node.part_set = parts.PartSet(node, parts.PARTS.plugins)
+    return node
+
+
+def serve(node: kernel_node.Node, leave: threading.Event) -> None:
+    """Run a node until it is told to leave and has drained.
+
+    Args:
+        node: The node to run.
+        leave: Set when the node has to leave.
+    """
+    node.part_set.start()
+    node.state = states.DaemonState.READY
+    logs.event('ready', vm=node.settings.vm, incarnation=node.incarnation)
+    leave.wait()
+    node.state = states.DaemonState.DRAINING
+    logs.event('draining', vm=node.settings.vm)
+    # The balancer goes on sending until it has seen that we are not ready.
+    threading.Event().wait(BALANCER_LAG_MS / 1000)
+    node.part_set.drain()
+    node.part_set.stop()
+    node.executor.shutdown()
+    logs.event('stopped', vm=node.settings.vm)
+
+
+def run(
+    settings: typing.Annotated[
+        str, typer.Option(help='Path of the JSON settings of this VM.')
+    ],
+    check: typing.Annotated[
+        bool, typer.Option(help='Check the settings and end.')
+    ] = False,
+) -> None:
+    """Run the daemon of an entry VM."""
+    try:
+        loaded = vm_settings.load(settings)
+        for key in (*loaded.cursor_keys, *loaded.peer_keys):
+            key.secret_bytes()
+    except exceptions.SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    if check:
+        typer.echo('the settings can be used')
+        return
+    logs.configure(loaded.log_level)
+    leave = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: leave.set())
+    signal.signal(signal.SIGINT, lambda *_: leave.set())
+    serve(create_node(loaded), leave)
+
+
+def main() -> None:
+    """Entry point of ``eelgrassknotd``."""
+    typer.run(run)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/eelgrassknot/frontend/callers.py
@@ -0,0 +1,180 @@
+"""The listener for callers: routes, authentication and limits."""
+
+import msgspec
+import result
+from werkzeug import exceptions as http_errors
+from werkzeug import routing
+from werkzeug import wrappers
+
+from eelgrassknot.frontend import accounts
+from eelgrassknot.frontend import context as contexts
+from eelgrassknot.frontend import dispatching
+from eelgrassknot.frontend import errors
+from eelgrassknot.frontend import generations
+from eelgrassknot.frontend import openai
+from eelgrassknot.frontend import plain_calls
+from eelgrassknot.frontend import server
+from eelgrassknot import ids
+from eelgrassknot.kernel import events
+from eelgrassknot.kernel import node as kernel_node
+from eelgrassknot.kernel import parts
+from eelgrassknot import states
+
+__all__ = ['CallersPart']
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_REQUEST_ID_CHARACTERS = 128
+
+_METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
+_ROUTES = routing.Map(
+    [
+        routing.Rule(
+            '/v1/completions', endpoint='completions', methods=['POST']
+        ),
+        routing.Rule(
+            '/v1/chat/completions', endpoint='chat', methods=['POST']
+        ),
+        routing.Rule('/v1/models', endpoint='models', methods=['GET']),
+        routing.Rule(
+            '/services/<service>/<path:path>',
+            endpoint='plain',
+            methods=_METHODS,
+        ),
+    ],
+    merge_slashes=False,
+)
+
+
+@parts.part('callers', after=('dispatch', 'config', 'membership'))
+class CallersPart(parts.Part):
+    """Answers callers, each request in a thread of the server."""
+
+    def __init__(self, node: kernel_node.Node) -> None:
+        self.node = node
+        self.dispatch: dispatching.DispatchPart | None = None
+        self.accounts: accounts.Accounts | None = None
+        node.hub.subscribe(events.ConfigAdopted, self._config)
+        self.server = server.Server(
+            node.settings.listen.callers, self.application, MAX_BODY_BYTES
+        )
+
+    def start(self) -> None:
+        """Listen for callers."""
+        self.dispatch = self.node.part_set.parts['dispatch']
+        self.server.start()
+
+    def drain(self) -> None:
+        """Finish the requests in hand."""
+        self.server.drain()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self.server.stop()
+
+    def _config(self, event: events.ConfigAdopted) -> None:
+        self.accounts = accounts.Accounts(event.text)
+
+    def application(self, environ, start_response):
+        """Answer one request; this is the WSGI entry point."""
+        http = wrappers.Request(environ)
+        http.max_content_length = MAX_BODY_BYTES
+        request = _request_id(http)
+        try:
+            answer = self._route(http, request)
+        except http_errors.HTTPException as error:
+            answer = _http_error(error, request)
+        return answer(environ, start_response)
+
+    def _route(
+        self, http: wrappers.Request, request: ids.RequestId
+    ) -> wrappers.Response:
+        endpoint, values = _ROUTES.bind_to_environ(http.environ).match()
+        if self.accounts is None:
+            return _starting(request)
+        header = http.headers.get('Authorization', '')
+        match self.accounts.authenticate(header):
+            case result.Err(error):
+                return errors.response(
+                    401, _invalid(error.code, str(error), request)
+                )
+            case result.Ok(account):
+                pass
+        now_ms = self.node.clock.now_ms()
+        context = contexts.CallContext(
+            node=self.node,
+            dispatch=self.dispatch,
+            http=http,
+            request=request,
+            text=self.node.text,
+            account=account,
+            priority=contexts.priority(http),
+            arrived_ms=now_ms,
+            deadline_ms=contexts.deadline_ms(http, now_ms),
+        )
+        return _answer(context, endpoint, values)
+
+
+def _answer(
+    context: contexts.CallContext, endpoint: str, values: dict[str, str]
+) -> wrappers.Response:
+    match endpoint:
+        case 'completions':
+            return generations.generate(context, chat=False)
+        case 'chat':
+            return generations.generate(context, chat=True)
+        case 'models':
+            return _models(context)
+        case 'plain':
+            return plain_calls.call(context, values['service'], values['path'])
+    raise http_errors.NotFound()
+
+
+def _models(context: contexts.CallContext) -> wrappers.Response:
+    entries = [
+        openai.ModelEntry(service.service)
+        for service in context.text.services
+        if service.kind is states.ServiceKind.ENGINE
+        and service.service in context.account.services
+    ]
+    body = msgspec.json.encode(openai.ModelList(entries))
+    return wrappers.Response(body, mimetype='application/json')
+
+
+def _request_id(http: wrappers.Request) -> ids.RequestId:
+    given = http.headers.get('X-Request-Id', '')
+    usable = given.isascii() and given.isprintable()
+    if usable and 0 < len(given) <= MAX_REQUEST_ID_CHARACTERS:
+        return ids.RequestId(given)
+    return ids.RequestId(ids.random_id())
+
+
+def _invalid(
+    code: str, message: str, request: ids.RequestId
+) -> errors.ErrorBody:
+    return errors.ErrorBody(
+        type=states.Outcome.INVALID.value,
+        code=code,
+        message=message,
+        remedy='correct the request',
+        outcome=states.Outcome.INVALID,
+        request_id=request,
+    )
+
+
+def _http_error(
+    error: http_errors.HTTPException, request: ids.RequestId
+) -> wrappers.Response:
+    body = _invalid('http', error.description or '', request)
+    return errors.response(error.code or 500, body)
+
+
+def _starting(request: ids.RequestId) -> wrappers.Response:
+    body = errors.ErrorBody(
+        type=states.Outcome.NOT_RUN.value,
+        code='starting',
+        message='this VM has no services text yet',
+        remedy='repeat the request; another VM may serve it',
+        outcome=states.Outcome.NOT_RUN,
+        request_id=request,
+    )
+    return errors.response(503, body, retry_after_ms=1_000)
--- a/eelgrassknot/logs.py
+++ b/eelgrassknot/logs.py
@@ -1,8 +1,11 @@
 """One line of key=value pairs for each event, by way of absl."""
 
 import json
+import logging as standard_logging
 import sys
+import time
 
+from absl import flags
 from absl import logging
 
 __all__ = ['configure', 'error', 'event', 'format_pairs', 'warning']
@@ -18,8 +21,13 @@
     Args:
         level: One of ``debug``, ``info``, ``warning`` and ``error``.
     """
+    # absl warns of each line that comes before its flags are parsed; the
+    # daemon takes its settings from a file and has no absl flags.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(_LineFormatter())
     logging.set_verbosity(level)
 
 
@@ -55,6 +63,17 @@
     logging.error('%s', format_pairs(name, pairs))
 
 
+class _LineFormatter(standard_logging.Formatter):
+    """Puts the time and the level in front as pairs of their own."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            'time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s',
+            '%Y-%m-%dT%H:%M:%S',
+        )
+        self.converter = time.gmtime
+
+
 def _quote(value: object) -> str:
     text = str(value)
     if text and _PLAIN_CHARACTERS.issuperset(text):
