Accept services texts by compare-and-swap with read-back of lost answers

A lost answer is read back in the history at the one version where the change can stand; absence there repeats the same conditional write, as it proves nothing.

--- /dev/null
+++ b/benchmarks/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the coordination between VMs."""
--- /dev/null
+++ b/eelgrassknot/coordination/config.py
@@ -0,0 +1,311 @@
+"""Acceptance of a services text by compare-and-swap.
+
+The text, its row in the history and its audit row are written in one
+transaction, on condition that nobody else's text was accepted since it
+was read. An answer that is lost is read back by the change's id: the
+change can only ever stand in the history at the version after the one
+that was read. Absence there proves nothing, as the write may still be
+on its way, so the same conditional write is repeated until either it or
+another's stands there.
+"""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from eelgrassknot.coordination import rows
+from eelgrassknot.coordination import text_diff
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot.platforms import base
+
+__all__ = [
+    'Acceptance',
+    'Accepted',
+    'CurrentRead',
+    'Finish',
+    'HistoryRead',
+    'ReadCurrent',
+    'ReadFailed',
+    'ReadHistory',
+    'WriteCommitted',
+    'WriteConflicted',
+    'WriteFailed',
+    'WriteText',
+    'digest_of',
+]
+
+HISTORY_LENGTH = 50
+MAX_ATTEMPTS = 6
+FIRST_VERSION = ids.ConfigVersion(1)
+
+
+def digest_of(document: str) -> str:
+    """Return the digest by which a document is checked on receipt."""
+    return hashlib.sha256(document.encode()).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """The text is accepted and will be in force everywhere."""
+
+    version: ids.ConfigVersion
+    digest: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CurrentRead:
+    """The row of the current text was read.
+
+    Attributes:
+        row_version: The row's version in the table; None if absent.
+    """
+
+    record: rows.ConfigRecord | None
+    row_version: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class HistoryRead:
+    """A row of the history was read; None if it is absent."""
+
+    record: rows.ConfigRecord | None
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadFailed:
+    """A read could not be made."""
+
+    error: exceptions.EelgrassknotError
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteCommitted:
+    """The transaction is known to have taken effect."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteConflicted:
+    """A condition of the transaction did not hold."""
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteFailed:
+    """The transaction had no clear answer, or did not reach the store."""
+
+    error: exceptions.EelgrassknotError
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadCurrent:
+    """Read the row of the current text."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadHistory:
+    """Read the row of one version in the history."""
+
+    version: ids.ConfigVersion
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteText:
+    """Make the transaction that accepts the text."""
+
+    conditions: tuple[base.Condition, ...]
+    writes: tuple[base.Write, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Finish:
+    """The acceptance has ended.
+
+    Attributes:
+        outcome: ``Accepted``, or the error that says why not.
+    """
+
+    outcome: Accepted | exceptions.EelgrassknotError
+
+
+Event = (
+    CurrentRead
+    | HistoryRead
+    | ReadFailed
+    | WriteCommitted
+    | WriteConflicted
+    | WriteFailed
+)
+Action = ReadCurrent | ReadHistory | WriteText | Finish
+
+
+class Acceptance:
+    """Accepts one text; the shell carries out what it returns.
+
+    Args:
+        document: The services text, checked before.
+        author: Person who changes the system.
+        change: Identifies this change; the same on each repeat.
+        at_ms: Wall-clock time in milliseconds since 1970.
+        base_version: Version that the author started from, or None to
+            replace whichever version is current.
+
+    Example:
+        >>> acceptance = Acceptance('{}', 'ana', 'c1', 0)
+        >>> acceptance.start()
+        ReadCurrent()
+        >>> write = acceptance.handle(CurrentRead(None, None))
+        >>> acceptance.handle(WriteCommitted()).outcome.version
+        1
+    """
+
+    def __init__(
+        self,
+        document: str,
+        author: str,
+        change: ids.ChangeId,
+        at_ms: int,
+        base_version: ids.ConfigVersion | None = None,
+    ) -> None:
+        self.document = document
+        self.author = author
+        self.change = change
+        self.at_ms = at_ms
+        self.base_version = base_version
+        self.digest = digest_of(document)
+        self.version = FIRST_VERSION
+        self.write: WriteText | None = None
+        self.attempts = 0
+        self.last_error: exceptions.EelgrassknotError | None = None
+
+    def start(self) -> Action:
+        """Return the first thing to do."""
+        return ReadCurrent()
+
+    def handle(self, event: Event) -> Action:
+        """Take in the answer to the last action; return the next.
+
+        Args:
+            event: What came of the last action.
+        """
+        match event:
+            case CurrentRead(record, row_version):
+                return self._decide(record, row_version)
+            case WriteCommitted():
+                return self._accepted(self.version)
+            case WriteConflicted():
+                return self._read_back()
+            case WriteFailed(error):
+                self.last_error = error
+                return self._read_back()
+            case HistoryRead(record):
+                return self._judge(record)
+            case ReadFailed(error):
+                return self._read_failed(error)
+
+    def _decide(
+        self, record: rows.ConfigRecord | None, row_version: int | None
+    ) -> Action:
+        current = record.version if record else ids.ConfigVersion(0)
+        if record and record.change == self.change:
+            return self._accepted(record.version)
+        if self.base_version is not None and self.base_version != current:
+            return Finish(_conflict(record))
+        self.version = ids.ConfigVersion(current + 1)
+        self.write = self._transaction(record, row_version)
+        return self._attempt()
+
+    def _transaction(
+        self, current: rows.ConfigRecord | None, row_version: int | None
+    ) -> WriteText:
+        record = rows.ConfigRecord(
+            self.version,
+            self.document,
+            self.author,
+            self.change,
+            self.digest,
+            self.at_ms,
+        )
+        text = rows.encode(record)
+        stamp = rows.encode(rows.ConfigStamp(self.version, self.digest))
+        audit = rows.encode(self._audit(current))
+        audit_key = rows.audit_key(self.at_ms, self.change)
+        key = rows.history_key(self.version)
+        writes = [
+            base.Write(rows.CONFIG_TABLE, rows.CONFIG_CURRENT, text),
+            base.Write(rows.CONFIG_TABLE, rows.CONFIG_VERSION, stamp),
+            base.Write(rows.CONFIG_TABLE, key, text),
+            base.Write(rows.AUDIT_TABLE, audit_key, audit),
+        ]
+        if self.version > HISTORY_LENGTH:
+            oldest = ids.ConfigVersion(self.version - HISTORY_LENGTH)
+            key = rows.history_key(oldest)
+            writes.append(base.Write(rows.CONFIG_TABLE, key, None))
+        condition = base.Condition(
+            rows.CONFIG_TABLE, rows.CONFIG_CURRENT, row_version
+        )
+        return WriteText((condition,), tuple(writes))
+
+    def _audit(self, current: rows.ConfigRecord | None) -> rows.AuditRecord:
+        before = msgspec.json.decode(current.document) if current else None
+        after = msgspec.json.decode(self.document)
+        changes = text_diff.diff(before, after)
+        return rows.AuditRecord(
+            self.at_ms,
+            rows.AuditKind.CONFIG_ACCEPTED,
+            self.author,
+            text_diff.changed_services(changes),
+            f'accepted version {self.version} of the services text',
+            self.version,
+            tuple(changes),
+        )
+
+    def _attempt(self) -> Action:
+        if self.attempts >= MAX_ATTEMPTS:
+            return Finish(self._unknown())
+        self.attempts += 1
+        assert self.write is not None
+        return self.write
+
+    def _read_back(self) -> Action:
+        return ReadHistory(self.version)
+
+    def _judge(self, record: rows.ConfigRecord | None) -> Action:
+        if record is None:
+            return self._attempt()
+        if record.change == self.change:
+            return self._accepted(record.version)
+        return Finish(_conflict(record))
+
+    def _read_failed(self, error: exceptions.EelgrassknotError) -> Action:
+        self.last_error = error
+        if self.write is None:
+            return Finish(error)
+        self.attempts += 1
+        if self.attempts >= MAX_ATTEMPTS:
+            return Finish(self._unknown())
+        return self._read_back()
+
+    def _accepted(self, version: ids.ConfigVersion) -> Finish:
+        return Finish(Accepted(version, self.digest))
+
+    def _unknown(self) -> exceptions.UnknownOutcomeError:
+        return exceptions.UnknownOutcomeError(
+            f'the text may or may not be accepted as version'
+            f' {self.version}: {self.last_error}',
+            f'repeat the command with change id {self.change}',
+        )
+
+
+def _conflict(
+    winner: rows.ConfigRecord | None,
+) -> exceptions.ConfigConflictError:
+    if winner is None:
+        return exceptions.ConfigConflictError(
+            'no text has been accepted yet',
+            'accept the first text without a base version',
+        )
+    return exceptions.ConfigConflictError(
+        f'version {winner.version} by {winner.author} was accepted first',
+        'take the current text, apply your change to it and accept again',
+    )
--- /dev/null
+++ b/tests/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Features and helpers on the coordination between VMs."""
