--- /dev/null
+++ b/eelgrassknot/coordination/rollout.py
@@ -0,0 +1,261 @@
+"""Decides which engine is brought to a service's new model, and when.
+
+One engine is changed first and watched. The others follow a few at a
+time, so that the service keeps its floor of engines, unless the first
+one makes more errors or stalls than the engines that are unchanged.
+"""
+
+import dataclasses
+import enum
+import math
+
+import msgspec
+
+from eelgrassknot import ids
+from eelgrassknot.settings import text as services_text
+
+__all__ = [
+    'EngineProgress',
+    'Health',
+    'Rollout',
+    'RolloutRecord',
+    'RolloutState',
+    'Verdict',
+    'judge',
+]
+
+MIN_SERVING_SHARE = 0.75
+CANARY_MIN_REQUESTS = 20
+CANARY_MAX_WATCH_MS = 120_000.0
+MAX_BAD_SHARE_EXCESS = 0.05
+
+
+class EngineProgress(enum.Enum):
+    """How far an engine has come.
+
+    ``UNKNOWN`` engines have not said what they hold, ``EMPTY`` engines
+    hold no version of the model, and ``OUTDATED`` ones serve another
+    version than the target.
+    """
+
+    UNKNOWN = 'unknown'
+    EMPTY = 'empty'
+    OUTDATED = 'outdated'
+    CHANGING = 'changing'
+    UPDATED = 'updated'
+
+
+class RolloutState(enum.Enum):
+    """Stages of a rollout."""
+
+    IDLE = 'idle'
+    CANARY = 'canary'
+    SPREADING = 'spreading'
+    HALTED = 'halted'
+
+
+class Verdict(enum.Enum):
+    """What the watched engine has shown."""
+
+    WATCHING = 'watching'
+    GOOD = 'good'
+    BAD = 'bad'
+
+
+@dataclasses.dataclass
+class Health:
+    """Requests that ended at some engines.
+
+    Attributes:
+        bad: Those that ended in an error or stalled.
+    """
+
+    requests: int = 0
+    bad: int = 0
+
+    def bad_share(self) -> float:
+        """Return the share of bad requests, 0 without any request."""
+        return self.bad / self.requests if self.requests else 0.0
+
+
+def judge(updated: Health, unchanged: Health, watched_ms: float) -> Verdict:
+    """Compare the updated engine with the unchanged ones.
+
+    Args:
+        updated: What ended at the updated engine.
+        unchanged: What ended at the others in the same time.
+        watched_ms: How long the updated engine has served.
+
+    Example:
+        >>> judge(Health(40, 20), Health(200, 2), 1_000.0).value
+        'bad'
+    """
+    if updated.requests >= CANARY_MIN_REQUESTS:
+        allowed = unchanged.bad_share() + MAX_BAD_SHARE_EXCESS
+        worse = updated.bad_share() > allowed
+        return Verdict.BAD if worse else Verdict.GOOD
+    if watched_ms < CANARY_MAX_WATCH_MS:
+        return Verdict.WATCHING
+    # Too little traffic to compare: one bad request is one too many.
+    return Verdict.BAD if updated.bad else Verdict.GOOD
+
+
+class RolloutRecord(msgspec.Struct, frozen=True):
+    """What a holder of the lease leaves to the next one.
+
+    Attributes:
+        target: Model that the rollout brings to the engines.
+        canary: Engine that is changed first.
+    """
+
+    service: ids.ServiceName
+    target: services_text.Model
+    state: RolloutState
+    canary: ids.UpstreamId | None = None
+
+
+class Rollout:
+    """Brings the engines of one service to one target.
+
+    Args:
+        service: Name of the service.
+        target: Model that its engines have to hold.
+        record: What an earlier holder of the lease left, or None. A
+            record of another target is of no use and is ignored.
+    """
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        target: services_text.Model,
+        record: RolloutRecord | None = None,
+    ) -> None:
+        self.service = service
+        self.target = target
+        self.state = RolloutState.IDLE
+        self.canary: ids.UpstreamId | None = None
+        self.canary_since_ms: float | None = None
+        self.progress: dict[ids.UpstreamId, EngineProgress] = {}
+        self.health: dict[ids.UpstreamId, Health] = {}
+        if record is not None and record.target == target:
+            self.state = record.state
+            self.canary = record.canary
+
+    def record(self) -> RolloutRecord:
+        """Return what the next holder of the lease has to know."""
+        return RolloutRecord(
+            self.service, self.target, self.state, self.canary
+        )
+
+    def observe(
+        self, progress: dict[ids.UpstreamId, EngineProgress], now_ms: float
+    ) -> None:
+        """Take in how far each engine of the service has come.
+
+        Args:
+            progress: All live engines of the service.
+            now_ms: The present time of this VM's clock.
+        """
+        self.progress = dict(progress)
+        if self.canary not in progress:
+            self._forget_canary()
+        match self.state:
+            case RolloutState.IDLE:
+                self._begin()
+            case RolloutState.CANARY:
+                self._watch(now_ms)
+            case RolloutState.SPREADING:
+                self._finish()
+
+    def request_ended(self, upstream: ids.UpstreamId, bad: bool) -> None:
+        """Count a request that ended at an engine."""
+        if self.canary_since_ms is None:
+            return
+        health = self.health.setdefault(upstream, Health())
+        health.requests += 1
+        health.bad += bad
+
+    def startable(self) -> list[ids.UpstreamId]:
+        """Return the engines that may be changed now, the first first."""
+        match self.state:
+            case RolloutState.HALTED:
+                return []
+            case RolloutState.CANARY:
+                return self._canary_only()
+        return self._in(EngineProgress.EMPTY) + self._replaceable()
+
+    def _begin(self) -> None:
+        outdated = self._in(EngineProgress.OUTDATED)
+        unknown = self._in(EngineProgress.UNKNOWN)
+        if not outdated or len(unknown) > self._spare():
+            return
+        changed = self._in(EngineProgress.UPDATED, EngineProgress.CHANGING)
+        self.canary = (changed or outdated)[0]
+        self.state = RolloutState.CANARY
+
+    def _watch(self, now_ms: float) -> None:
+        if self.progress[self.canary] is not EngineProgress.UPDATED:
+            return
+        if self.canary_since_ms is None:
+            self.canary_since_ms = now_ms
+            self.health.clear()
+        watched_ms = now_ms - self.canary_since_ms
+        match judge(*self._compared(), watched_ms):
+            case Verdict.GOOD:
+                self.state = RolloutState.SPREADING
+                self.canary_since_ms = None
+            case Verdict.BAD:
+                self.state = RolloutState.HALTED
+                self.canary_since_ms = None
+
+    def _finish(self) -> None:
+        updated = self._in(EngineProgress.UPDATED)
+        if len(updated) == len(self.progress):
+            self.state = RolloutState.IDLE
+            self.canary = None
+
+    def _compared(self) -> tuple[Health, Health]:
+        updated = self.health.get(self.canary, Health())
+        unchanged = Health()
+        for upstream, health in self.health.items():
+            if upstream != self.canary:
+                unchanged.requests += health.requests
+                unchanged.bad += health.bad
+        return updated, unchanged
+
+    def _canary_only(self) -> list[ids.UpstreamId]:
+        changeable = (EngineProgress.OUTDATED, EngineProgress.EMPTY)
+        if self.progress.get(self.canary) in changeable:
+            return [self.canary]
+        return []
+
+    def _replaceable(self) -> list[ids.UpstreamId]:
+        if self.state is not RolloutState.SPREADING:
+            return []
+        busy = self._in(
+            EngineProgress.CHANGING,
+            EngineProgress.EMPTY,
+            EngineProgress.UNKNOWN,
+        )
+        free = max(0, self._spare() - len(busy))
+        return self._in(EngineProgress.OUTDATED)[:free]
+
+    def _spare(self) -> int:
+        count = len(self.progress)
+        floor = math.ceil(count * MIN_SERVING_SHARE)
+        # A service of few engines has to spare one, or it would never
+        # be changed.
+        return max(1, count - floor)
+
+    def _in(self, *wanted: EngineProgress) -> list[ids.UpstreamId]:
+        return sorted(
+            upstream
+            for upstream, reached in self.progress.items()
+            if reached in wanted
+        )
+
+    def _forget_canary(self) -> None:
+        self.canary = None
+        self.canary_since_ms = None
+        if self.state is RolloutState.CANARY:
+            self.state = RolloutState.IDLE
--- /dev/null
+++ b/tests/coordination/fleet.py
@@ -0,0 +1,132 @@
+"""A small fake of engines that carry out orders in given time."""
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import order_messages as messages
+from eelgrassknot.coordination import order_planner
+from eelgrassknot.coordination import orders
+from eelgrassknot import ids
+from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot.settings import text as services_text
+from eelgrassknot import states
+from eelgrassknot.upstreams import messages as upstream_messages
+
+__all__ = ['Fleet', 'services_text_of']
+
+SERVICE = ids.ServiceName('quoter')
+MODEL = 'm-quote'
+LOAD_MS = 10_000.0
+STEP_MS = 1_000.0
+
+
+def services_text_of(version, depends_on=(), loads_per_minute=60.0):
+    """Return a text with one engine service and a plain one."""
+    return services_text.ServicesText(
+        deployment='test',
+        regions=(),
+        services=(
+            services_text.Service(
+                SERVICE,
+                states.ServiceKind.ENGINE,
+                depends_on=tuple(depends_on),
+                model=services_text.Model(MODEL, version),
+            ),
+            services_text.Service(
+                ids.ServiceName('orderdesk'), states.ServiceKind.PLAIN
+            ),
+        ),
+        client_accounts=(),
+        weight_store=services_text.WeightStore(loads_per_minute),
+    )
+
+
+class Fleet:
+    """Engines that obey a planner, and what they were told and when."""
+
+    def __init__(self, count, version=None):
+        self.clock = clocks.ManualClock()
+        self.planner = order_planner.OrderPlanner()
+        self.version = {f'e{n}': version for n in range(count)}
+        self.loading = {}
+        self.sent = []
+        self.records = {}
+        self.bad_version = None
+        self.lost_answers = set()
+        self.most_changing = 0
+        self.planner.handle(messages.EnginesKnown(self.infos()), 0.0)
+
+    def infos(self):
+        return tuple(
+            kernel_events.UpstreamInfo(
+                ids.UpstreamId(name),
+                SERVICE,
+                states.ServiceKind.ENGINE,
+                f'127.0.0.1:{number}',
+                ids.AvailabilityZoneId('heredia'),
+                ids.RegionId('central'),
+                states.UpstreamState.LIVE,
+            )
+            for number, name in enumerate(self.version)
+        )
+
+    def adopt(self, text):
+        self.tell(messages.TextAdopted(text))
+
+    def gain(self, fencing):
+        records = tuple(self.records.values())
+        self.tell(messages.LeaseGained(ids.FencingNumber(fencing), records))
+
+    def replace_planner(self, text, fencing):
+        self.planner = order_planner.OrderPlanner()
+        self.tell(messages.EnginesKnown(self.infos()))
+        self.adopt(text)
+        self.gain(fencing)
+
+    def tell(self, event):
+        for action in self.planner.handle(event, self.clock.now_ms()):
+            self.carry_out(action)
+
+    def carry_out(self, action):
+        match action:
+            case messages.WriteIntent(upstream):
+                self.tell(messages.IntentWritten(upstream))
+            case messages.SendOrder(upstream, _, request):
+                self.sent.append((self.clock.now_ms(), upstream, request))
+                self.loading[upstream] = (
+                    self.clock.now_ms() + LOAD_MS,
+                    request.version,
+                )
+                self.tell(messages.OrderAnswered(upstream))
+            case messages.RolloutChanged(record):
+                self.records[record.service] = record
+
+    def run(self, seconds, requests=True):
+        """Let time pass; each engine serves a request a step."""
+        for _ in range(int(seconds * 1000 / STEP_MS)):
+            self.clock.advance_ms(STEP_MS)
+            self.step(requests)
+
+    def step(self, requests=True):
+        now_ms = self.clock.now_ms()
+        for name, (done_ms, version) in list(self.loading.items()):
+            if now_ms >= done_ms:
+                self.version[name] = version
+                del self.loading[name]
+        for name in self.version:
+            self.tell(messages.StateRead(name, self.held(name)))
+            if requests and name not in self.loading:
+                bad = self.version[name] == self.bad_version
+                self.tell(messages.RequestSeen(SERVICE, name, bad))
+        self.tell(messages.Tick())
+        serving = [v for n, v in self.version.items() if v]
+        if len(serving) == len(self.version):
+            self.most_changing = max(self.most_changing, len(self.loading))
+
+    def held(self, name):
+        version = self.version[name]
+        held = [upstream_messages.HeldModel(MODEL, version)] if version else []
+        loading = [
+            upstream_messages.HeldModel(MODEL, version)
+            for loading, (_, version) in self.loading.items()
+            if loading == name
+        ]
+        return orders.HeldState(tuple(held), tuple(loading))
