Check of texts and VM settings: all faults at once

Cause: the decoder stops at the first fault and knows no references. Conclusion: a refused document lists each fault with path and remedy.

--- /dev/null
+++ b/eelgrassknot/settings/addresses.py
@@ -0,0 +1,156 @@
+"""Checks of what the settings of a VM say beyond their structure."""
+
+import collections.abc
+import ipaddress
+import typing
+import urllib.parse
+
+from eelgrassknot.kernel import registry
+from eelgrassknot.platforms import base as platform_base
+from eelgrassknot.settings import faults
+from eelgrassknot.settings import ranges
+from eelgrassknot.settings import vm as vm_settings
+
+__all__ = ['vm_faults']
+
+MAX_PORT = 65_535
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+Faults = collections.abc.Iterator[faults.Fault]
+
+
+def vm_faults(document: typing.Any) -> Faults:
+    """Yield faulty addresses, keys and choices of VM settings.
+
+    Args:
+        document: The parsed settings; they may be of any shape.
+    """
+    for name in ('vm', 'availability_zone', 'region'):
+        if ranges.field(document, name) == '':
+            place = faults.child(faults.ROOT, name)
+            yield faults.Fault(place, 'the name is empty', 'write a name')
+    yield from _listen_faults(document)
+    yield from _platform_faults(document)
+    for peer, path in ranges.entries(document, 'known_peers', faults.ROOT):
+        yield from _address_faults(peer, path)
+    for name in ('cursor_keys', 'peer_keys'):
+        yield from _keys_faults(document, name)
+    level = ranges.text_value(ranges.field(document, 'log_level'))
+    if level is not None and level not in LOG_LEVELS:
+        yield faults.Fault(
+            faults.child(faults.ROOT, 'log_level'),
+            'no such log level is known',
+            f'use one of {", ".join(LOG_LEVELS)}',
+        )
+
+
+def _listen_faults(document: typing.Any) -> Faults:
+    listen = ranges.field(document, 'listen')
+    path = faults.child(faults.ROOT, 'listen')
+    first: dict[str, str] = {}
+    for name in ('callers', 'operators', 'peers'):
+        address = ranges.text_value(ranges.field(listen, name))
+        place = faults.child(path, name)
+        yield from _address_faults(address, place)
+        # Port 0 lets the operating system choose, so it never clashes.
+        if address in first and not address.endswith(':0'):
+            yield faults.Fault(
+                place,
+                f'{first[address]} has the same address',
+                'give each listener an address of its own',
+            )
+        if address is not None:
+            first.setdefault(address, place)
+
+
+def _platform_faults(document: typing.Any) -> Faults:
+    platform = ranges.field(document, 'platform')
+    path = faults.child(faults.ROOT, 'platform')
+    plugin = ranges.text_value(ranges.field(platform, 'plugin'))
+    registry.load_plugins('eelgrassknot.platforms')
+    known = platform_base.PLATFORMS.plugins
+    if plugin is not None and plugin not in known:
+        yield faults.Fault(
+            faults.child(path, 'plugin'),
+            f'no platform plug-in is called {faults.quoted(plugin)}',
+            f'use one of {", ".join(sorted(known))}',
+        )
+    url = ranges.text_value(ranges.field(platform, 'url'))
+    if url is not None and not _is_http_url(url):
+        yield faults.Fault(
+            faults.child(path, 'url'),
+            'this is no HTTP URL',
+            'write it as "http://IP:port"',
+        )
+
+
+def _is_http_url(url: str) -> bool:
+    try:
+        parts = urllib.parse.urlsplit(url)
+        return parts.scheme in ('http', 'https') and bool(parts.hostname)
+    except ValueError:
+        return False
+
+
+def _address_faults(address: typing.Any, path: str) -> Faults:
+    if isinstance(address, str) and not _is_address(address):
+        yield faults.Fault(
+            path,
+            f'{faults.quoted(address)} is no address',
+            'write it as "IP:port" with an IP number',
+        )
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return is_number and int(port) <= MAX_PORT
+
+
+def _keys_faults(document: typing.Any, name: str) -> Faults:
+    path = faults.child(faults.ROOT, name)
+    if ranges.field(document, name) == []:
+        yield faults.Fault(path, 'there is no key', 'add a key')
+    first: dict[str, str] = {}
+    for key, place in ranges.entries(document, name, faults.ROOT):
+        key_id = ranges.text_value(ranges.field(key, 'id'))
+        if key_id in first:
+            yield faults.Fault(
+                faults.child(place, 'id'),
+                f'{first[key_id]} has the same id',
+                'give each key an id of its own',
+            )
+        if key_id is not None:
+            first.setdefault(key_id, faults.child(place, 'id'))
+        secret = ranges.field(key, 'secret')
+        yield from _secret_faults(secret, faults.child(place, 'secret'))
+
+
+def _secret_faults(secret: typing.Any, path: str) -> Faults:
+    file_name = ranges.text_value(ranges.field(secret, 'file'))
+    if isinstance(secret, str):
+        yield from _length_faults(secret, path)
+    elif file_name is not None:
+        place = faults.child(path, 'file')
+        try:
+            text = vm_settings.read_file(file_name)
+        except (OSError, ValueError) as error:
+            yield faults.Fault(
+                place,
+                f'the file cannot be read: {type(error).__name__}',
+                'name a readable file with the secret in it',
+            )
+        else:
+            yield from _length_faults(text.strip(), place)
+
+
+def _length_faults(secret: str, path: str) -> Faults:
+    least = vm_settings.MIN_SECRET_BYTES
+    if len(secret.encode()) < least:
+        yield faults.Fault(
+            path, 'the secret is too short', f'use at least {least} bytes'
+        )
--- /dev/null
+++ b/eelgrassknot/settings/structure.py
@@ -0,0 +1,260 @@
+"""Finds all structural faults of a JSON document against a Struct.
+
+The decoder stops at the first fault. This walk goes over the same type
+information and goes on after each fault, so the two cannot disagree on
+what the fields are.
+"""
+
+import collections.abc
+import difflib
+import json
+import math
+import sys
+import typing
+
+import msgspec
+from msgspec import inspect as type_nodes
+
+from eelgrassknot.settings import faults
+
+__all__ = ['parse', 'structure_faults']
+
+_JSON_NAMES = {
+    dict: 'an object',
+    list: 'an array',
+    str: 'a string',
+    bool: 'true or false',
+    int: 'a number',
+    float: 'a number',
+    type(None): 'null',
+}
+
+
+class _Object(dict):
+    """A JSON object that remembers which fields it had twice."""
+
+    repeated: tuple[str, ...] = ()
+
+
+def parse(
+    document: bytes | str,
+) -> tuple[typing.Any, list[faults.Fault]]:
+    """Parse a JSON document without raising.
+
+    Args:
+        document: The JSON text.
+
+    Returns:
+        The value, None if it cannot be parsed, and the faults found.
+    """
+    try:
+        text = document if isinstance(document, str) else document.decode()
+        value = json.loads(
+            text,
+            object_pairs_hook=_object_of_pairs,
+            parse_constant=_refuse_constant,
+        )
+        # Half of a surrogate pair parses, but cannot be stored.
+        json.dumps(value, ensure_ascii=False).encode()
+    except (ValueError, RecursionError) as error:
+        fault = faults.Fault(
+            faults.ROOT,
+            f'the document is not JSON: {_reason(error)}',
+            'write one JSON object in UTF-8',
+        )
+        return None, [fault]
+    return value, []
+
+
+def structure_faults(
+    value: typing.Any, kind: type[msgspec.Struct]
+) -> list[faults.Fault]:
+    """Return all structural faults of a parsed document.
+
+    Args:
+        value: The value that ``parse`` returned.
+        kind: The Struct that the document is to be decoded into.
+    """
+    try:
+        node = type_nodes.type_info(kind)
+        return list(_walk(value, node, faults.ROOT))
+    except RecursionError:
+        return [
+            faults.Fault(
+                faults.ROOT,
+                'the document is nested too deeply',
+                'write it as the documentation shows',
+            )
+        ]
+
+
+def _object_of_pairs(pairs: list[tuple[str, typing.Any]]) -> _Object:
+    value = _Object(pairs)
+    if len(value) < len(pairs):
+        names = [name for name, _ in pairs]
+        value.repeated = tuple(name for name in value if names.count(name) > 1)
+    return value
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is no JSON number')
+
+
+def _reason(error: Exception) -> str:
+    if isinstance(error, RecursionError):
+        return 'it is nested too deeply'
+    if isinstance(error, UnicodeError):
+        return 'it holds what is not Unicode text'
+    return str(error)
+
+
+def _walk(
+    value: typing.Any, node: type_nodes.Type, path: str
+) -> collections.abc.Iterator[faults.Fault]:
+    match node:
+        case type_nodes.StructType():
+            yield from _walk_struct(value, node, path)
+        case type_nodes.VarTupleType(item_type=item):
+            yield from _walk_array(value, item, path)
+        case type_nodes.UnionType(types=members):
+            yield from _walk_union(value, members, path)
+        case type_nodes.EnumType(cls=enum_class):
+            allowed = [member.value for member in enum_class]
+            if value not in allowed:
+                choices = ', '.join(allowed)
+                yield faults.Fault(
+                    path, 'this is none of the choices', f'use {choices}'
+                )
+        case _:
+            if not _fits(value, node):
+                yield _wrong_type(value, node, path)
+
+
+def _walk_struct(
+    value: typing.Any, node: type_nodes.StructType, path: str
+) -> collections.abc.Iterator[faults.Fault]:
+    if not isinstance(value, dict):
+        yield _wrong_type(value, node, path)
+        return
+    fields = {field.encode_name: field for field in node.fields}
+    for name in getattr(value, 'repeated', ()):
+        yield faults.Fault(
+            faults.child(path, name),
+            'the field is given twice',
+            'keep one of the two',
+        )
+    for name in value:
+        if name not in fields:
+            yield _unknown_field(name, list(fields), path)
+    for name, field in fields.items():
+        place = faults.child(path, name)
+        if name in value:
+            yield from _walk(value[name], field.type, place)
+        elif field.required:
+            yield faults.Fault(
+                place,
+                'the field is missing',
+                f'add it as {_expected(field.type)}',
+            )
+
+
+def _walk_array(
+    value: typing.Any, item: type_nodes.Type, path: str
+) -> collections.abc.Iterator[faults.Fault]:
+    if not isinstance(value, list):
+        yield faults.Fault(
+            path, f'this is {_json_name(value)}', 'write an array'
+        )
+        return
+    for index, entry in enumerate(value):
+        yield from _walk(entry, item, faults.element(path, index))
+
+
+def _walk_union(
+    value: typing.Any, members: tuple[type_nodes.Type, ...], path: str
+) -> collections.abc.Iterator[faults.Fault]:
+    for member in members:
+        if not _is_struct(member) and _fits(value, member):
+            return
+    structs = [member for member in members if _is_struct(member)]
+    if structs and isinstance(value, dict):
+        yield from _walk_struct(value, structs[0], path)
+        return
+    wanted = ' or '.join(_expected(member) for member in members)
+    yield faults.Fault(path, f'this is {_json_name(value)}', f'write {wanted}')
+
+
+def _is_struct(node: type_nodes.Type) -> bool:
+    return isinstance(node, type_nodes.StructType)
+
+
+def _fits(value: typing.Any, node: type_nodes.Type) -> bool:
+    match node:
+        case type_nodes.StrType():
+            return isinstance(value, str)
+        case type_nodes.BoolType():
+            return isinstance(value, bool)
+        case type_nodes.NoneType():
+            return value is None
+        case type_nodes.IntType():
+            return _is_whole(value)
+        case type_nodes.FloatType():
+            return _is_finite(value)
+    return False
+
+
+def _is_whole(value: typing.Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_finite(value: typing.Any) -> bool:
+    if isinstance(value, float):
+        return math.isfinite(value)
+    return _is_whole(value) and abs(value) <= sys.float_info.max
+
+
+def _wrong_type(
+    value: typing.Any, node: type_nodes.Type, path: str
+) -> faults.Fault:
+    return faults.Fault(
+        path, f'this is {_json_name(value)}', f'write {_expected(node)}'
+    )
+
+
+def _unknown_field(name: str, known: list[str], path: str) -> faults.Fault:
+    close = difflib.get_close_matches(name, known, 1)
+    remedy = 'remove the field'
+    if close:
+        remedy = f'write {close[0]}, or remove the field'
+    return faults.Fault(
+        faults.child(path, name), 'no such field is known', remedy
+    )
+
+
+def _json_name(value: typing.Any) -> str:
+    if isinstance(value, dict):
+        return _JSON_NAMES[dict]
+    return _JSON_NAMES[type(value)]
+
+
+def _expected(node: type_nodes.Type) -> str:
+    match node:
+        case type_nodes.StructType(fields=fields):
+            names = [field.encode_name for field in fields if field.required]
+            with_fields = f' with {", ".join(names)}' if names else ''
+            return f'an object{with_fields}'
+        case type_nodes.VarTupleType():
+            return 'an array'
+        case type_nodes.EnumType(cls=enum_class):
+            return ' or '.join(f'"{member.value}"' for member in enum_class)
+        case type_nodes.StrType():
+            return 'a string'
+        case type_nodes.IntType():
+            return 'a whole number'
+        case type_nodes.FloatType():
+            return 'a number'
+        case type_nodes.BoolType():
+            return 'true or false'
+        case type_nodes.UnionType(types=members):
+            return ' or '.join(_expected(member) for member in members)
+    return 'null'
--- a/eelgrassknot/settings/vm.py
+++ b/eelgrassknot/settings/vm.py
@@ -14,6 +14,8 @@
     'SecretFile',
     'VmSettings',
     'load',
+    'read_file',
+    'split_address',
 ]
 
 MIN_SECRET_BYTES = 32
@@ -103,11 +105,21 @@
     return host, int(port)
 
 
+def read_file(path: str) -> str:
+    """Return the text of a file.
+
+    Raises:
+        OSError: If it cannot be read.
+        ValueError: If it is not UTF-8, or the path cannot be one.
+    """
+    return pathlib.Path(path).read_text(encoding='utf-8')
+
+
 def _read(path: str) -> str:
     try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
-    except OSError as error:
+        return read_file(path)
+    except (OSError, ValueError) as error:
         raise exceptions.SettingsError(
-            f'cannot read {path}: {error.strerror}',
-            'name a readable file',
+            f'cannot read {path}: {error}',
+            'name a readable file in UTF-8',
         ) from error
