--- a/eelgrassknot/settings/vm.py
+++ b/eelgrassknot/settings/vm.py
@@ -14,9 +14,12 @@
     'SecretFile',
     'VmSettings',
     'load',
+    'read_file',
+    'split_address',
 ]
 
 MIN_SECRET_BYTES = 32
+DEFAULT_REPORT_INTERVAL_MS = 60_000
 
 
 class SecretFile(msgspec.Struct, frozen=True):
@@ -67,7 +70,12 @@
 
 
 class VmSettings(msgspec.Struct, frozen=True):
-    """Settings of one VM."""
+    """Settings of one VM.
+
+    Attributes:
+        report_interval_ms: How often the VM writes its part of the
+            report.
+    """
 
     vm: ids.VmId
     availability_zone: ids.AvailabilityZoneId
@@ -78,6 +86,7 @@
     peer_keys: tuple[Key, ...]
     known_peers: tuple[str, ...] = ()
     log_level: str = 'info'
+    report_interval_ms: int = DEFAULT_REPORT_INTERVAL_MS
 
 
 def load(path: str) -> VmSettings:
@@ -103,11 +112,21 @@
     return host, int(port)
 
 
+def read_file(path: str) -> str:
+    """Return the text of a file.
+
+    Raises:
+        OSError: If it cannot be read.
+        ValueError: If it is not UTF-8, or the path cannot be one.
+    """
+    return pathlib.Path(path).read_text(encoding='utf-8')
+
+
 def _read(path: str) -> str:
     try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
-    except OSError as error:
+        return read_file(path)
+    except (OSError, ValueError) as error:
         raise exceptions.SettingsError(
-            f'cannot read {path}: {error.strerror}',
-            'name a readable file',
+            f'cannot read {path}: {error}',
+            'name a readable file in UTF-8',
         ) from error
