--- /dev/null
+++ b/tests/steps/coordination_membership.py
@@ -0,0 +1,255 @@
+"""Steps on the membership of entry VMs."""
+
+import random
+
+import behave
+from hypothesis import stateful
+from hypothesis import strategies
+
+from eelgrassknot.coordination import membership
+from eelgrassknot.coordination import suspicion
+from eelgrassknot.platforms import base
+from eelgrassknot import states
+from tests.coordination import machines
+
+GONE = membership.PeerState.GONE
+LIVE = membership.PeerState.LIVE
+
+
+class Forgetful(membership.Membership):
+    """Believes the last heartbeat alone."""
+
+    def _heard(self, event, now_ms):
+        peer = self._peer(event.vm)
+        if peer.incarnation != event.incarnation:
+            self._start_incarnation(peer, event)
+        peer.leaving = event.leaving
+        peer.detector.heard(now_ms)
+
+
+class Gossip(stateful.RuleBasedStateMachine):
+    """One VM hears two others, who leave and are replaced."""
+
+    membership_class = membership.Membership
+
+    def __init__(self):
+        super().__init__()
+        self.membership = self.membership_class('a', 'zone')
+        self.now_ms = 0.0
+        self.runs = {'b': 1, 'c': 1}
+        self.leaving = {'b': False, 'c': False}
+        self.sequence = 0
+        self.messages = []
+        self.told_leaving = set()
+        self.newest = {'b': 0, 'c': 0}
+
+    @stateful.rule(vm=strategies.sampled_from('bc'))
+    def heartbeat(self, vm):
+        self.sequence += 1
+        self.messages.append(
+            membership.HeartbeatHeard(
+                vm,
+                f'{vm}{self.runs[vm]}',
+                self.runs[vm],
+                self.sequence,
+                self.leaving[vm],
+            )
+        )
+
+    @stateful.rule(vm=strategies.sampled_from('bc'))
+    def leaves(self, vm):
+        self.leaving[vm] = True
+        self.heartbeat(vm)
+
+    @stateful.rule(vm=strategies.sampled_from('bc'))
+    def is_replaced(self, vm):
+        self.runs[vm] += 1
+        self.leaving[vm] = False
+        self.heartbeat(vm)
+
+    @stateful.rule(
+        index=strategies.integers(0, 9),
+        fate=strategies.sampled_from(('arrives', 'repeats', 'is lost')),
+    )
+    def message(self, index, fate):
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        event = self.messages[index]
+        if fate != 'repeats':
+            del self.messages[index]
+        if fate == 'is lost':
+            return
+        self.membership.handle(event, self.now_ms)
+        if event.started_ms < self.newest[event.vm]:
+            return
+        self.newest[event.vm] = event.started_ms
+        if event.leaving:
+            self.told_leaving.add(event.incarnation)
+
+    @stateful.rule(step_ms=strategies.sampled_from((100, 900)))
+    def time_passes(self, step_ms):
+        self.now_ms += step_ms
+        self.membership.handle(membership.Tick(), self.now_ms)
+
+    @stateful.invariant()
+    def leaving_and_replaced_stay_so(self):
+        for vm, peer in self.membership.peers.items():
+            assert peer.started_ms >= self.newest[vm], 'replaced one is back'
+            if peer.incarnation in self.told_leaving:
+                assert peer.state is not LIVE, 'a leaver is live again'
+
+
+@behave.given('VMs that hear heartbeats in any order')
+def given_gossip(context):
+    context.machine = Gossip
+
+
+@behave.given('VMs that believe the last heartbeat alone')
+def given_forgetful(context):
+    context.machine = type(
+        'Machine', (Gossip,), {'membership_class': Forgetful}
+    )
+
+
+@behave.then('no leaver counts as live again and no replaced one returns')
+def leavers_stay(context):
+    machines.run(context.machine)
+
+
+@behave.then('the check on membership fails')
+def membership_check_fails(context):
+    machines.assert_caught(context.machine)
+
+
+def heartbeat(context, vm, incarnation=None, leaving=False, unheard=()):
+    context.sequence += 1
+    context.membership.handle(
+        membership.HeartbeatHeard(
+            vm,
+            incarnation or f'{vm}1',
+            context.sequence,
+            context.sequence,
+            leaving,
+            frozenset(unheard),
+        ),
+        context.now_ms,
+    )
+
+
+def run(context, duration_ms, speakers, unheard=()):
+    end_ms = context.now_ms + duration_ms
+    while context.now_ms < end_ms:
+        context.now_ms += 1_000
+        context.membership.handle(membership.Tick(), context.now_ms)
+        for vm in speakers:
+            heartbeat(context, vm, unheard=unheard)
+    context.membership.handle(membership.Tick(), context.now_ms)
+
+
+@behave.given('three VMs of a zone that hear one another each 1000 ms')
+def given_zone(context):
+    context.membership = membership.Membership('a', 'zone')
+    context.now_ms = 0.0
+    context.sequence = 0
+    run(context, 10_000, 'bc')
+    assert context.membership.live() == ['b', 'c']
+
+
+@behave.when('"{vm}" falls silent for {silent_ms:d} ms')
+def falls_silent(context, vm, silent_ms):
+    run(context, silent_ms, set('bc') - {vm})
+
+
+@behave.when('"{vm}" also says that it misses "{other}"')
+def misses_too(context, vm, other):
+    context.unheard = (other,)
+
+
+@behave.when('"{vm}" stays silent for {silent_ms:d} ms more')
+def stays_silent(context, vm, silent_ms):
+    run(context, silent_ms, set('bc') - {vm}, context.unheard)
+
+
+@behave.then('"a" suspects "{vm}" and does not count it as gone')
+def suspects(context, vm):
+    suspected = context.membership.in_state(membership.PeerState.SUSPECTED)
+    assert suspected == [vm], suspected
+    assert context.membership.unheard() == [vm]
+    assert context.membership.is_gone(vm, f'{vm}1') is None
+
+
+@behave.then('"a" counts "{vm}" as gone')
+def counts_gone(context, vm):
+    assert context.membership.in_state(GONE) == [vm]
+    assert context.membership.is_gone(vm, f'{vm}1') is True
+
+
+@behave.when('"a" stands still for {still_ms:d} ms')
+def stands_still(context, still_ms):
+    context.now_ms += still_ms
+
+
+@behave.then('"a" suspects nobody')
+def suspects_nobody(context):
+    context.membership.handle(membership.Tick(), context.now_ms)
+    assert context.membership.live() == ['b', 'c']
+
+
+@behave.given(
+    'heartbeats with gaps of {gap_ms:d} ms'
+    ' and heartbeats between {low_ms:d} and {high_ms:d} ms'
+)
+def given_two_rhythms(context, gap_ms, low_ms, high_ms):
+    generator = random.Random(3)
+    context.regular = suspicion.Suspicion(gap_ms)
+    context.jittery = suspicion.Suspicion(gap_ms)
+    regular_ms = jittery_ms = 0.0
+    for _ in range(60):
+        regular_ms += gap_ms
+        jittery_ms += generator.uniform(low_ms, high_ms)
+        context.regular.heard(regular_ms)
+        context.jittery.heard(jittery_ms)
+
+
+@behave.then('a silence of {silent_ms:d} ms is suspect for the former alone')
+def only_regular_suspect(context, silent_ms):
+    for detector, expected in (
+        (context.regular, True),
+        (context.jittery, False),
+    ):
+        assert detector.is_suspect(detector.last_ms + silent_ms) is expected
+
+
+@behave.when('"{vm}" leaves and comes back as another incarnation')
+def comes_back(context, vm):
+    heartbeat(context, vm, leaving=True)
+    assert context.membership.live() == ['b']
+    heartbeat(context, vm, f'{vm}2')
+
+
+@behave.then('"a" counts "{vm}" as live and the former incarnation as ended')
+def counts_live(context, vm):
+    assert vm in context.membership.live()
+    assert context.membership.is_gone(vm, f'{vm}1') is True
+    assert context.membership.is_gone(vm, f'{vm}2') is False
+
+
+def entry(vm, state=states.UpstreamState.LIVE):
+    return base.VmEntry(
+        vm, '127.0.0.1', 1, 'zone', 'r', states.VmKind.ENTRY, state
+    )
+
+
+@behave.when('the list names "{dead}" as live and leaves "{new}" out')
+def list_names(context, dead, new):
+    entries = (entry(dead), entry('b'))
+    context.membership.handle(membership.ListRead(entries), context.now_ms)
+    run(context, 20_000, 'bc')
+
+
+@behave.then('"a" knows "{dead}" only as listed and "{new}" as live')
+def knows(context, dead, new):
+    listed = context.membership.in_state(membership.PeerState.LISTED)
+    assert listed == [dead], listed
+    assert new in context.membership.live()
