--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,444 @@
+"""Stand-in of a model engine: the model of its batch behind HTTP."""
+
+import collections
+import collections.abc
+import dataclasses
+import os
+import random
+import threading
+import time
+
+import msgspec
+import typer
+from werkzeug import wrappers
+
+from eelgrassknot import clock as clocks
+from standins import engine_model
+from standins import engine_orders
+from standins import serving
+
+__all__ = ['Control', 'Engine', 'Record', 'main']
+
+IDLE_POLL_S = 0.05
+SNAPSHOT_MS = 50.0
+STREAM_WAIT_S = 1.0
+MAX_SNAPSHOTS = 2_000
+
+
+class Control(msgspec.Struct):
+    """What the engine is told to suffer from.
+
+    Attributes:
+        slowdown: Factor on the time of each step.
+        stalled: Whether no step is run at all.
+        state: ``live`` or ``leaving``.
+        load_lag_ms: Age of the load that it reports.
+        cache_lag_ms: Age of the newest cache event that it reports.
+        cache_gap_probability: Chance for each cache event to be lost.
+        keep_ms: How long a generation is known after its end.
+        mute_streams: Whether open streams send nothing more.
+    """
+
+    slowdown: float = 1.0
+    stalled: bool = False
+    state: str = 'live'
+    load_lag_ms: float = 500.0
+    cache_lag_ms: float = 500.0
+    cache_gap_probability: float = 0.05
+    keep_ms: float = 20_000.0
+    mute_streams: bool = False
+
+
+class Record(msgspec.Struct):
+    """What one generation was, for the checkers.
+
+    Attributes:
+        at_ms: When it was accepted, on the machine's monotonic clock.
+        leaving: Whether it was accepted while the engine was leaving.
+    """
+
+    generation: str
+    request_id: str
+    at_ms: float
+    produced: int = 0
+    state: str = 'waiting'
+    attaches: int = 0
+
+
+class Engine:
+    """Drives the model in real time and answers HTTP.
+
+    Args:
+        model: The batch.
+        orders: What the engine holds and whom it obeys.
+        seed: Seed of the gaps in the cache events.
+    """
+
+    def __init__(
+        self,
+        model: engine_model.EngineModel,
+        orders: engine_orders.Orders,
+        seed: int,
+    ) -> None:
+        self.clock = clocks.MonotonicClock()
+        self.model = model
+        self.orders = orders
+        self.control = Control()
+        self.generator = random.Random(seed)
+        self.lock = threading.Lock()
+        self.wakened = threading.Condition(self.lock)
+        self.changed: dict[str, threading.Condition] = {}
+        self.records: dict[str, Record] = {}
+        self.loads: collections.deque = collections.deque(maxlen=MAX_SNAPSHOTS)
+        self.cache_log: list[tuple[float, dict]] = []
+        self.cache_seen = 0
+        self.leaving_since_ms: float | None = None
+        self.application = serving.Application()
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        generation = '/v1/generations/<generation>'
+        routes = (
+            ('POST', '/v1/completions', self.complete),
+            ('POST', '/v1/chat/completions', self.complete),
+            ('GET', generation, self.resume),
+            ('DELETE', generation, self.cancel),
+            ('GET', f'{generation}/status', self.get_status),
+            ('GET', '/load', self.get_load),
+            ('GET', '/cache/events', self.get_cache_events),
+            ('POST', '/orders', self.order),
+            ('GET', '/orders/state', self.get_orders),
+            ('GET', '/control', self.get_control),
+            ('POST', '/control', self.set_control),
+            ('POST', '/control/reclaim', self.reclaim),
+            ('POST', '/control/forget', self.forget),
+            ('GET', '/control/history', self.get_history),
+        )
+        for method, rule, handler in routes:
+            self.application.add(method, rule, handler)
+
+    def run(self) -> None:
+        """Step the batch for as long as the process lives."""
+        next_snapshot_ms = 0.0
+        while True:
+            now_ms = self.clock.now_ms()
+            with self.lock:
+                self.model.config.slowdown = self.control.slowdown
+                if not self.control.stalled:
+                    self._publish(self.model.advance(now_ms))
+                if now_ms >= next_snapshot_ms:
+                    self._snapshot(now_ms)
+                    next_snapshot_ms = now_ms + SNAPSHOT_MS
+                self.wakened.wait(self._pause_s(now_ms))
+
+    def _pause_s(self, now_ms: float) -> float:
+        ends_ms = self.model.next_ms()
+        if ends_ms is None or self.control.stalled:
+            return IDLE_POLL_S
+        pause_s = (ends_ms - now_ms) / clocks.MS_PER_SECOND
+        return min(IDLE_POLL_S, max(0.0, pause_s))
+
+    def _publish(self, happenings: list[engine_model.Happening]) -> None:
+        touched = {happening.generation for happening in happenings}
+        for generation in touched:
+            self._touch(generation)
+
+    def _touch(self, generation: str) -> None:
+        state = self.model.generations[generation]
+        record = self.records[generation]
+        record.produced = state.produced
+        record.state = state.state
+        self.changed[generation].notify_all()
+
+    def _snapshot(self, now_ms: float) -> None:
+        self.loads.append(
+            {
+                'at_ms': now_ms,
+                'kv_tokens_used': self.model.kv_tokens_used(),
+                'kv_tokens_total': self.model.config.kv_tokens_total,
+                'running': len(self.model.running),
+                'waiting': len(self.model.waiting),
+                'preemptions': self.model.preemptions,
+            }
+        )
+        for event in self.model.cache.events:
+            if event.seq > self.cache_seen:
+                self.cache_seen = event.seq
+                self._log_cache_event(event, now_ms)
+        for generation in self.model.forget(now_ms - self.control.keep_ms):
+            del self.changed[generation]
+
+    def _log_cache_event(self, event: object, now_ms: float) -> None:
+        if self.generator.random() >= self.control.cache_gap_probability:
+            self.cache_log.append((now_ms, dataclasses.asdict(event)))
+
+    def complete(self, request: wrappers.Request) -> wrappers.Response:
+        """Start a generation, or attach to the one that has this id."""
+        body = serving.read_json(request)
+        generation = request.headers.get('X-Generation-Id', '')
+        if not generation:
+            return serving.json_answer({'error': 'no generation id'}, 400)
+        with self.lock:
+            known = generation in self.model.generations
+            if not known and self.control.state == 'leaving':
+                return serving.json_answer({'error': 'leaving'}, 503)
+            try:
+                self._submit(request, body, generation)
+            except engine_model.FullError:
+                return serving.json_answer({'error': 'full'}, 503)
+        return self._stream(generation, 0)
+
+    def _submit(
+        self, request: wrappers.Request, body: dict, generation: str
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        request_id = request.headers.get('X-Request-Id', '')
+        self.model.submit(
+            generation,
+            request_id,
+            _prompt(body),
+            body.get('max_tokens'),
+            request.headers.get('X-Priority') != 'batch',
+            now_ms,
+        )
+        if generation not in self.changed:
+            self.changed[generation] = threading.Condition(self.lock)
+        record = self.records.setdefault(
+            generation, Record(generation, request_id, now_ms)
+        )
+        record.attaches += 1
+        self.wakened.notify()
+
+    def resume(
+        self, request: wrappers.Request, generation: str
+    ) -> wrappers.Response:
+        """Stream a known generation from an index on."""
+        first = request.args.get('from', 0, type=int)
+        with self.lock:
+            if generation not in self.model.generations:
+                return serving.json_answer({'error': 'unknown'}, 404)
+            self.records[generation].attaches += 1
+        return self._stream(generation, first)
+
+    def _stream(self, generation: str, first: int) -> wrappers.Response:
+        return wrappers.Response(
+            self._events(generation, first),
+            content_type='text/event-stream',
+        )
+
+    def _events(
+        self, generation: str, first: int
+    ) -> collections.abc.Iterator[bytes]:
+        index = first
+        state = self.model.generations.get(generation)
+        if state is None:
+            return
+        while True:
+            with self.lock:
+                self._await_token(generation, state, index)
+                produced = state.produced
+                over = state.state
+                muted = self.control.mute_streams
+            if muted:
+                time.sleep(IDLE_POLL_S)
+                continue
+            while index < produced:
+                yield _sse(state, index)
+                index += 1
+            if over == 'done':
+                yield b'data: [DONE]\n\n'
+                return
+            if over == 'cancelled':
+                return
+
+    def _await_token(
+        self,
+        generation: str,
+        state: engine_model.Generation,
+        index: int,
+    ) -> None:
+        condition = self.changed.get(generation)
+        while state.alive and state.produced <= index:
+            condition.wait(STREAM_WAIT_S)
+
+    def get_status(
+        self, request: wrappers.Request, generation: str
+    ) -> wrappers.Response:
+        """Return where a generation stands, or 404."""
+        with self.lock:
+            state = self.model.generations.get(generation)
+            if state is None:
+                return serving.json_answer({'error': 'unknown'}, 404)
+            return serving.json_answer(
+                {'state': state.state, 'produced': state.produced}
+            )
+
+    def cancel(
+        self, request: wrappers.Request, generation: str
+    ) -> wrappers.Response:
+        """End a generation; repeating it changes nothing."""
+        with self.lock:
+            self._cancel(generation)
+        return serving.json_answer({})
+
+    def _cancel(self, generation: str) -> None:
+        if generation in self.model.generations:
+            self.model.cancel(generation, self.clock.now_ms())
+            self._touch(generation)
+
+    def get_load(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the load as it was some time ago."""
+        visible_ms = self.clock.now_ms() - self.control.load_lag_ms
+        with self.lock:
+            load = self.loads[0]
+            for older in reversed(self.loads):
+                if older['at_ms'] <= visible_ms:
+                    load = older
+                    break
+            held = self.orders.state(self.clock.now_ms())
+        return serving.json_answer(
+            {
+                **load,
+                'state': self.control.state,
+                'models': held['models'],
+                'role': held['role'],
+            }
+        )
+
+    def get_cache_events(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the cache events that are old enough, with gaps."""
+        after = request.args.get('after', 0, type=int)
+        visible_ms = self.clock.now_ms() - self.control.cache_lag_ms
+        with self.lock:
+            events = [
+                event
+                for at_ms, event in self.cache_log
+                if at_ms <= visible_ms and event['seq'] > after
+            ]
+        last = events[-1]['seq'] if events else after
+        return serving.json_answer({'events': events, 'next': last})
+
+    def order(self, request: wrappers.Request) -> wrappers.Response:
+        """Take an order, or refuse one with an old fencing number."""
+        order = msgspec.json.decode(
+            request.get_data(), type=engine_orders.Order
+        )
+        with self.lock:
+            seen = self.orders.take(order, self.clock.now_ms())
+        if seen is not None:
+            stale = {'error': 'stale_fencing', 'seen': seen}
+            return serving.json_answer(stale, 409)
+        return serving.json_answer({}, 202)
+
+    def get_orders(self, request: wrappers.Request) -> wrappers.Response:
+        """Return what the engine holds and is loading."""
+        with self.lock:
+            return serving.json_answer(self.orders.state(self.clock.now_ms()))
+
+    def get_control(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the faults that are set."""
+        return serving.json_answer(self.control)
+
+    def set_control(self, request: wrappers.Request) -> wrappers.Response:
+        """Replace the faults that the body names."""
+        changes = serving.read_json(request)
+        with self.lock:
+            self.control = serving.merge(self.control, changes)
+            leaving = self.control.state == 'leaving'
+            if leaving and self.leaving_since_ms is None:
+                self.leaving_since_ms = self.clock.now_ms()
+            if not leaving:
+                self.leaving_since_ms = None
+            self.wakened.notify()
+        return serving.json_answer(self.control)
+
+    def reclaim(self, request: wrappers.Request) -> wrappers.Response:
+        """Say that the engine is leaving, then exit after a notice."""
+        notice_ms = serving.read_json(request).get('notice_ms', 2_000.0)
+        with self.lock:
+            self.control = serving.merge(self.control, {'state': 'leaving'})
+            self.leaving_since_ms = self.clock.now_ms()
+        timer = threading.Timer(
+            notice_ms / clocks.MS_PER_SECOND, os._exit, (0,)
+        )
+        timer.daemon = True
+        timer.start()
+        return serving.json_answer({})
+
+    def forget(self, request: wrappers.Request) -> wrappers.Response:
+        """Lose all generations, as an engine that was started anew."""
+        with self.lock:
+            for generation in list(self.model.generations):
+                self._cancel(generation)
+            now_ms = self.clock.now_ms()
+            for generation in self.model.forget(now_ms):
+                del self.changed[generation]
+        return serving.json_answer({})
+
+    def get_history(self, request: wrappers.Request) -> wrappers.Response:
+        """Return what each generation produced, and the orders taken."""
+        with self.lock:
+            return serving.json_answer(
+                {
+                    'generations': list(self.records.values()),
+                    'orders': self.orders.taken,
+                    'leaving_since_ms': self.leaving_since_ms,
+                    'preemptions': self.model.preemptions,
+                }
+            )
+
+
+def _prompt(body: dict) -> str:
+    if 'prompt' in body:
+        return str(body['prompt'])
+    messages = body.get('messages', [])
+    return '\n'.join(str(message.get('content')) for message in messages)
+
+
+def _sse(state: engine_model.Generation, index: int) -> bytes:
+    last = index == state.output_tokens - 1
+    event = {
+        'generation': state.generation,
+        'request_id': state.request_id,
+        'index': index,
+        'text': engine_model.token_text(
+            state.request_id, state.generation, index
+        ),
+        'finish_reason': state.finish_reason if last else None,
+    }
+    return b'data: ' + msgspec.json.encode(event) + b'\n\n'
+
+
+def main(
+    listen: str = '127.0.0.1:0',
+    seed: int = 0,
+    kv_tokens: int = 60_000,
+    max_running: int = 64,
+    max_waiting: int = 256,
+    step_ms: float = 18.0,
+    mean_output_tokens: int = 120,
+    model: str = 'model',
+    version: str = '1',
+    adapter: list[str] = [],  # noqa: B006
+    role: str = 'decode',
+    check_fencing: bool = True,
+    load_time_ms: float = 500.0,
+) -> None:
+    """Serve an engine's stand-in until SIGTERM."""
+    config = engine_model.EngineConfig(
+        kv_tokens_total=kv_tokens,
+        max_running=max_running,
+        max_waiting=max_waiting,
+        step_base_ms=step_ms,
+        mean_output_tokens=mean_output_tokens,
+    )
+    orders = engine_orders.Orders(check_fencing, load_time_ms, role)
+    if model:
+        orders.hold(model, version, adapter)
+    engine = Engine(engine_model.EngineModel(config, seed), orders, seed)
+    threading.Thread(target=engine.run, daemon=True).start()
+    serving.serve(engine.application, listen)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/standins/engine_model.py
@@ -0,0 +1,359 @@
+"""Pure model of a continuously batching engine.
+
+Time stands outside: ``advance`` runs the decode steps that have ended by
+the time that it is given. The same object serves behind HTTP and, with a
+``ManualClock``, in benchmarks and tests.
+"""
+
+import dataclasses
+import math
+import random
+import re
+
+import xxhash
+
+from standins import prefix_cache
+
+__all__ = [
+    'EngineConfig',
+    'EngineModel',
+    'Ended',
+    'FullError',
+    'Generation',
+    'Preempted',
+    'Token',
+    'token_text',
+]
+
+BYTES_PER_TOKEN = 4
+_TOKENS_WISH = re.compile(r'\btokens=(\d+)')
+
+
+@dataclasses.dataclass(slots=True)
+class EngineConfig:
+    """Sizes and speeds of an engine.
+
+    Attributes:
+        kv_tokens_total: Memory for running generations and the cache.
+        max_running: Most generations in one batch.
+        max_waiting: Generations that may wait before new ones are
+            refused.
+        step_base_ms: Time of a decode step with an empty batch.
+        step_sequence_ms: Time that each generation adds to a step.
+        step_context_ms: Time that each thousand tokens of context adds.
+        prefill_token_ms: Time that each uncached prompt token adds.
+        mean_output_tokens: Median of the outputs that nobody asked for.
+        output_sigma: Spread of the logarithm of the output length.
+        slowdown: Factor on the time of each step.
+    """
+
+    kv_tokens_total: int = 60_000
+    max_running: int = 64
+    max_waiting: int = 256
+    step_base_ms: float = 18.0
+    step_sequence_ms: float = 0.12
+    step_context_ms: float = 0.02
+    prefill_token_ms: float = 0.05
+    mean_output_tokens: int = 120
+    output_sigma: float = 1.0
+    slowdown: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """A generation produced the token of an index."""
+
+    generation: str
+    index: int
+    at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Preempted:
+    """A generation lost its memory and waits to be computed again."""
+
+    generation: str
+    at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A generation produced its last token."""
+
+    generation: str
+    finish_reason: str
+    at_ms: float
+
+
+Happening = Token | Preempted | Ended
+
+
+class FullError(Exception):
+    """The engine's queue is full; nothing was started."""
+
+
+@dataclasses.dataclass(slots=True)
+class Generation:
+    """One generation, from its submission to its end.
+
+    Attributes:
+        output_tokens: Length that it will reach; nobody outside knows it.
+        state: ``waiting``, ``running``, ``preempted``, ``done`` or
+            ``cancelled``.
+        prefill_tokens: What the next step has to compute for it.
+    """
+
+    generation: str
+    request_id: str
+    prompt_tokens: int
+    prefixes: tuple[str, ...]
+    output_tokens: int
+    finish_reason: str
+    urgent: bool
+    order: int
+    submitted_ms: float
+    state: str = 'waiting'
+    produced: int = 0
+    prefill_tokens: int = 0
+    ended_ms: float | None = None
+
+    @property
+    def context_tokens(self) -> int:
+        """Tokens that it holds in memory while it runs."""
+        return self.prompt_tokens + self.produced
+
+    @property
+    def alive(self) -> bool:
+        """Whether it may still produce tokens."""
+        return self.state in ('waiting', 'running', 'preempted')
+
+
+class EngineModel:
+    """Steps a batch of generations through time.
+
+    Args:
+        config: Sizes and speeds; may be changed between calls.
+        seed: Seed of the output lengths, which depend on it and on the
+            request alone.
+
+    Example:
+        >>> engine = EngineModel(EngineConfig(), seed=1)
+        >>> _ = engine.submit('g', 'r', 'say tokens=2', None, True, 0.0)
+        >>> [type(h).__name__ for h in engine.advance(60_000.0)]
+        ['Token', 'Token', 'Ended']
+
+    References:
+        Yu et al., "Orca", OSDI 2022, on iteration-level batching; Kwon
+        et al., "Efficient Memory Management for Large Language Model
+        Serving with PagedAttention", SOSP 2023, on preemption by
+        recomputation.
+    """
+
+    def __init__(self, config: EngineConfig, seed: int) -> None:
+        self.config = config
+        self.seed = seed
+        self.generations: dict[str, Generation] = {}
+        self.waiting: list[Generation] = []
+        self.running: list[Generation] = []
+        self.cache = prefix_cache.PrefixCache()
+        self.preemptions = 0
+        self.submitted = 0
+        self.step_ends_ms: float | None = None
+
+    def submit(
+        self,
+        generation: str,
+        request_id: str,
+        prompt: str,
+        max_tokens: int | None,
+        urgent: bool,
+        now_ms: float,
+    ) -> Generation:
+        """Queue a generation, or return the one that has this id.
+
+        Raises:
+            FullError: If too many wait already.
+        """
+        known = self.generations.get(generation)
+        if known is not None:
+            return known
+        if len(self.waiting) >= self.config.max_waiting:
+            raise FullError
+        output, reason = self._output(request_id, prompt, max_tokens)
+        data = prompt.encode()
+        self.submitted += 1
+        started = Generation(
+            generation,
+            request_id,
+            max(1, math.ceil(len(data) / BYTES_PER_TOKEN)),
+            prefix_cache.prefixes(data),
+            output,
+            reason,
+            urgent,
+            self.submitted,
+            now_ms,
+        )
+        self.generations[generation] = started
+        self.waiting.append(started)
+        return started
+
+    def _output(
+        self, request_id: str, prompt: str, max_tokens: int | None
+    ) -> tuple[int, str]:
+        wish = _TOKENS_WISH.search(prompt)
+        if wish is not None:
+            length = int(wish[1])
+        else:
+            generator = random.Random(f'{self.seed}/{request_id}')
+            median = math.log(self.config.mean_output_tokens)
+            length = round(
+                generator.lognormvariate(median, self.config.output_sigma)
+            )
+        length = max(1, length)
+        if max_tokens is not None and length > max_tokens:
+            return max(1, max_tokens), 'length'
+        return length, 'stop'
+
+    def cancel(self, generation: str, now_ms: float) -> None:
+        """End a generation at once; harmless when it is over."""
+        cancelled = self.generations.get(generation)
+        if cancelled is None or not cancelled.alive:
+            return
+        self._remove(cancelled)
+        cancelled.state = 'cancelled'
+        cancelled.ended_ms = now_ms
+
+    def forget(self, before_ms: float) -> list[str]:
+        """Drop what ended before a time and return the ids."""
+        old = [
+            generation.generation
+            for generation in self.generations.values()
+            if generation.ended_ms is not None
+            and generation.ended_ms <= before_ms
+        ]
+        for generation in old:
+            del self.generations[generation]
+        return old
+
+    def next_ms(self) -> float | None:
+        """Return when the present step ends; None while idle."""
+        return self.step_ends_ms
+
+    def kv_tokens_used(self) -> int:
+        """Return the memory that running generations hold, in tokens."""
+        return sum(g.context_tokens for g in self.running)
+
+    def advance(self, now_ms: float) -> list[Happening]:
+        """Run all steps that end by a time.
+
+        Args:
+            now_ms: The present time; never less than in earlier calls.
+
+        Returns:
+            What happened, in order.
+        """
+        happenings: list[Happening] = []
+        while True:
+            if self.step_ends_ms is None:
+                self._begin_step(now_ms)
+                if self.step_ends_ms is None:
+                    return happenings
+            if self.step_ends_ms > now_ms:
+                return happenings
+            ended_ms = self.step_ends_ms
+            self.step_ends_ms = None
+            happenings += self._end_step(ended_ms)
+            self._begin_step(ended_ms)
+
+    def _begin_step(self, now_ms: float) -> None:
+        self._admit()
+        if not self.running:
+            return
+        config = self.config
+        prefill = sum(g.prefill_tokens for g in self.running)
+        context = self.kv_tokens_used() / 1000
+        step_ms = (
+            config.step_base_ms
+            + config.step_sequence_ms * len(self.running)
+            + config.step_context_ms * context
+            + config.prefill_token_ms * prefill
+        )
+        for generation in self.running:
+            generation.prefill_tokens = 0
+        self.step_ends_ms = now_ms + step_ms * config.slowdown
+
+    def _admit(self) -> None:
+        self.waiting.sort(key=_rank)
+        free = self.config.kv_tokens_total - self.kv_tokens_used()
+        while self.waiting and len(self.running) < self.config.max_running:
+            first = self.waiting[0]
+            needed = first.context_tokens + 1
+            # A generation alone is let in whatever its size.
+            if needed > free and self.running:
+                break
+            self.waiting.pop(0)
+            covered = self.cache.lookup(first.prefixes)
+            first.prefill_tokens = max(1, first.context_tokens - covered)
+            first.state = 'running'
+            self.running.append(first)
+            free -= needed
+            self.cache.store(first.prefixes)
+        self.cache.shrink(max(0, free))
+
+    def _end_step(self, at_ms: float) -> list[Happening]:
+        happenings: list[Happening] = []
+        for generation in list(self.running):
+            happenings.append(
+                Token(generation.generation, generation.produced, at_ms)
+            )
+            generation.produced += 1
+            if generation.produced >= generation.output_tokens:
+                generation.state = 'done'
+                generation.ended_ms = at_ms
+                self.running.remove(generation)
+                happenings.append(
+                    Ended(
+                        generation.generation,
+                        generation.finish_reason,
+                        at_ms,
+                    )
+                )
+        happenings += self._preempt(at_ms)
+        return happenings
+
+    def _preempt(self, at_ms: float) -> list[Happening]:
+        happenings: list[Happening] = []
+        used = self.kv_tokens_used() + len(self.running)
+        while used > self.config.kv_tokens_total and len(self.running) > 1:
+            victim = max(self.running, key=_rank)
+            used -= victim.context_tokens + 1
+            self.running.remove(victim)
+            victim.state = 'preempted'
+            self.waiting.append(victim)
+            self.preemptions += 1
+            happenings.append(Preempted(victim.generation, at_ms))
+        return happenings
+
+    def _remove(self, generation: Generation) -> None:
+        if generation in self.running:
+            self.running.remove(generation)
+        if generation in self.waiting:
+            self.waiting.remove(generation)
+        if not self.running:
+            self.step_ends_ms = None
+
+
+def token_text(request_id: str, generation: str, index: int) -> str:
+    """Return the text of one token, which names where it comes from.
+
+    Example:
+        >>> token_text('r', 'g', 7).endswith('-7 ')
+        True
+    """
+    owner = xxhash.xxh32_hexdigest(request_id.encode())
+    source = xxhash.xxh32_hexdigest(generation.encode())
+    return f'{owner}-{source}-{index} '
+
+
+def _rank(generation: Generation) -> tuple[bool, int]:
+    return (not generation.urgent, generation.order)
--- /dev/null
+++ b/standins/engine_orders.py
@@ -0,0 +1,105 @@
+"""What an engine's stand-in holds, and the orders that it takes."""
+
+import msgspec
+
+__all__ = ['Held', 'Order', 'Orders', 'Taken']
+
+
+class Order(msgspec.Struct):
+    """Target state that an engine is told to reach."""
+
+    order: str
+    model: str = ''
+    fencing: int | None = None
+    version: str | None = None
+    adapter: str | None = None
+    role: str | None = None
+
+
+class Held(msgspec.Struct):
+    """A model in memory."""
+
+    model: str
+    version: str
+    adapters: list[str]
+
+
+class Taken(msgspec.Struct):
+    """An order with what became of it."""
+
+    at_ms: float
+    order: Order
+    accepted: bool
+
+
+class Orders:
+    """Takes orders in turn; each takes effect after a load time.
+
+    Args:
+        check_fencing: Whether old fencing numbers are refused.
+        load_time_ms: Time until an order takes effect.
+        role: Role at the start.
+    """
+
+    def __init__(
+        self, check_fencing: bool, load_time_ms: float, role: str
+    ) -> None:
+        self.check_fencing = check_fencing
+        self.load_time_ms = load_time_ms
+        self.role = role
+        self.seen = 0
+        self.held: dict[str, Held] = {}
+        self.loading: list[tuple[float, Order]] = []
+        self.taken: list[Taken] = []
+
+    def hold(self, model: str, version: str, adapters: list[str]) -> None:
+        """Put a model into memory at once."""
+        self.held[model] = Held(model, version, list(adapters))
+
+    def take(self, order: Order, now_ms: float) -> int | None:
+        """Take an order.
+
+        Returns:
+            None if it was taken, else the fencing number that it is
+            older than.
+        """
+        fencing = order.fencing
+        if self.check_fencing and fencing is not None:
+            if fencing < self.seen:
+                self.taken.append(Taken(now_ms, order, False))
+                return self.seen
+            self.seen = fencing
+        self.taken.append(Taken(now_ms, order, True))
+        self.loading.append((now_ms + self.load_time_ms, order))
+        return None
+
+    def state(self, now_ms: float) -> dict:
+        """Return what is held and what is loading."""
+        self._settle(now_ms)
+        return {
+            'models': list(self.held.values()),
+            'role': self.role,
+            'loading': [order for _, order in self.loading],
+            'fencing': self.seen,
+        }
+
+    def _settle(self, now_ms: float) -> None:
+        ready = [order for at_ms, order in self.loading if at_ms <= now_ms]
+        self.loading = [
+            (at_ms, order) for at_ms, order in self.loading if at_ms > now_ms
+        ]
+        for order in ready:
+            self._apply(order)
+
+    def _apply(self, order: Order) -> None:
+        if order.order == 'set_role':
+            self.role = order.role or self.role
+            return
+        held = self.held.get(order.model)
+        if order.order == 'load_adapter':
+            if held is not None and order.adapter not in held.adapters:
+                held.adapters.append(order.adapter)
+            return
+        version = order.version or (held.version if held else '')
+        adapters = held.adapters if held else []
+        self.held[order.model] = Held(order.model, version, adapters)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,217 @@
+"""Stand-in of the platform: table, objects and the list of VMs."""
+
+import random
+import threading
+import time
+
+import msgspec
+import typer
+from werkzeug import wrappers
+
+from eelgrassknot import clock as clocks
+from standins import counters
+from standins import serving
+from standins import table
+
+__all__ = ['Control', 'Platform', 'main']
+
+MAX_BLACK_HOLE_S = 600.0
+BLACK_HOLE_POLL_S = 0.05
+
+
+class Control(msgspec.Struct):
+    """What the platform is told to suffer from.
+
+    Attributes:
+        latency_ms: Delay before each request is handled.
+        outage: ``none``, ``refuse`` (503) or ``black_hole``.
+        lose_answers: How often the connection of a transaction is
+            dropped after the commit.
+        refuse_writes: How often a transaction is answered 503 with
+            nothing written.
+        vm_list_lag_ms: How far the list of VMs lags.
+    """
+
+    latency_ms: float = 0.0
+    outage: str = 'none'
+    lose_answers: serving.Draw = msgspec.field(default_factory=serving.Draw)
+    refuse_writes: serving.Draw = msgspec.field(default_factory=serving.Draw)
+    vm_list_lag_ms: float = 0.0
+
+
+class Platform:
+    """Table, objects and VM list behind one HTTP application.
+
+    Args:
+        seed: Seed of the faults that strike by chance.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.clock = clocks.MonotonicClock()
+        self.control = Control()
+        self.generator = random.Random(seed)
+        self.table = table.Table()
+        self.objects: dict[str, bytes] = {}
+        self.vm_lists: list[tuple[float, list]] = []
+        self.counters = counters.Counters()
+        self.lock = threading.Lock()
+        self.application = serving.Application()
+        self._add_routes()
+
+    def _add_routes(self) -> None:
+        routes = (
+            ('POST', '/transactions', 'writes', self.commit),
+            ('GET', '/rows/<name>', 'reads', self.list_rows),
+            ('GET', '/rows/<name>/<path:key>', 'reads', self.get_row),
+            ('GET', '/objects', 'reads', self.list_objects),
+            ('GET', '/objects/<path:key>', 'reads', self.get_object),
+            ('PUT', '/objects/<path:key>', 'writes', self.put_object),
+            ('DELETE', '/objects/<path:key>', 'writes', self.delete_object),
+            ('GET', '/vms', 'reads', self.get_vms),
+        )
+        for method, rule, kind, handler in routes:
+            self.application.add(method, rule, self._guarded(kind, handler))
+        add = self.application.add
+        add('GET', '/control', self.get_control)
+        add('POST', '/control', self.set_control)
+        add('PUT', '/control/vms', self.set_vms)
+        add('GET', '/control/counters', self.get_counters)
+
+    def _guarded(self, kind: str, handler: serving.Handler) -> serving.Handler:
+        def guarded(
+            request: wrappers.Request, **values: str
+        ) -> wrappers.Response:
+            if self.control.latency_ms:
+                time.sleep(self.control.latency_ms / clocks.MS_PER_SECOND)
+            if self.control.outage == 'refuse':
+                return serving.json_answer({'error': 'outage'}, 503)
+            if self.control.outage == 'black_hole':
+                return self._black_hole(request)
+            self.counters.count(kind, self.clock.now_ms())
+            return handler(request, **values)
+
+        return guarded
+
+    def _black_hole(self, request: wrappers.Request) -> wrappers.Response:
+        until = time.monotonic() + MAX_BLACK_HOLE_S
+        while self.control.outage == 'black_hole':
+            if time.monotonic() > until:
+                break
+            time.sleep(BLACK_HOLE_POLL_S)
+        return serving.drop_connection(request)
+
+    def commit(self, request: wrappers.Request) -> wrappers.Response:
+        """Run a transaction, all or nothing."""
+        transaction = msgspec.json.decode(
+            request.get_data(), type=table.Transaction
+        )
+        with self.lock:
+            if self.control.refuse_writes.strikes(self.generator):
+                return serving.json_answer({'error': 'refused'}, 503)
+            outcome = self.table.commit(transaction)
+            lost = self.control.lose_answers.strikes(self.generator)
+        if lost:
+            return serving.drop_connection(request)
+        if isinstance(outcome, table.Failed):
+            return serving.json_answer({'failed': outcome}, 409)
+        return serving.json_answer({'versions': outcome})
+
+    def get_row(
+        self, request: wrappers.Request, name: str, key: str
+    ) -> wrappers.Response:
+        """Return one row, or 404."""
+        with self.lock:
+            row = self.table.get(name, key)
+        if row is None:
+            return serving.json_answer({'error': 'absent'}, 404)
+        return serving.json_answer(row)
+
+    def list_rows(
+        self, request: wrappers.Request, name: str
+    ) -> wrappers.Response:
+        """Return rows in order of their keys."""
+        limit = request.args.get('limit', type=int)
+        with self.lock:
+            rows = self.table.scan(
+                name,
+                request.args.get('prefix', ''),
+                request.args.get('after', ''),
+                limit,
+            )
+        return serving.json_answer({'rows': rows})
+
+    def put_object(
+        self, request: wrappers.Request, key: str
+    ) -> wrappers.Response:
+        """Store an object, unless it exists and must not."""
+        body = request.get_data()
+        only_new = request.headers.get('If-None-Match') == '*'
+        with self.lock:
+            if only_new and key in self.objects:
+                return serving.json_answer({'error': 'exists'}, 412)
+            self.objects[key] = body
+        return serving.json_answer({}, 201)
+
+    def get_object(
+        self, request: wrappers.Request, key: str
+    ) -> wrappers.Response:
+        """Return one object, or 404."""
+        body = self.objects.get(key)
+        if body is None:
+            return serving.json_answer({'error': 'absent'}, 404)
+        return wrappers.Response(body, content_type='application/octet-stream')
+
+    def delete_object(
+        self, request: wrappers.Request, key: str
+    ) -> wrappers.Response:
+        """Delete an object; absent is as good."""
+        with self.lock:
+            self.objects.pop(key, None)
+        return wrappers.Response(status=204)
+
+    def list_objects(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the keys that begin with a prefix."""
+        prefix = request.args.get('prefix', '')
+        with self.lock:
+            keys = sorted(k for k in self.objects if k.startswith(prefix))
+        return serving.json_answer({'keys': keys})
+
+    def get_vms(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the list of VMs as it was some time ago."""
+        visible_ms = self.clock.now_ms() - self.control.vm_list_lag_ms
+        with self.lock:
+            vms = self.vm_lists[0][1] if self.vm_lists else []
+            for at_ms, listed in self.vm_lists:
+                if at_ms <= visible_ms:
+                    vms = listed
+        return serving.json_answer({'vms': vms})
+
+    def set_vms(self, request: wrappers.Request) -> wrappers.Response:
+        """Replace the list of VMs; the body is like that of GET /vms."""
+        vms = serving.read_json(request)['vms']
+        with self.lock:
+            self.vm_lists.append((self.clock.now_ms(), vms))
+        return serving.json_answer({})
+
+    def get_control(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the faults that are set."""
+        return serving.json_answer(self.control)
+
+    def set_control(self, request: wrappers.Request) -> wrappers.Response:
+        """Replace the faults that the body names."""
+        changes = serving.read_json(request)
+        self.control = serving.merge(self.control, changes)
+        return serving.json_answer(self.control)
+
+    def get_counters(self, request: wrappers.Request) -> wrappers.Response:
+        """Return how many reads and writes were served."""
+        return serving.json_answer(self.counters.summary(self.clock.now_ms()))
+
+
+def main(listen: str = '127.0.0.1:0', seed: int = 0) -> None:
+    """Serve the platform's stand-in until SIGTERM."""
+    serving.serve(Platform(seed).application, listen)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,79 @@
+"""Cache of prompt prefixes in the memory that generations leave free."""
+
+import collections
+import dataclasses
+
+import xxhash
+
+__all__ = ['BLOCK_TOKENS', 'CacheEvent', 'PrefixCache', 'prefixes']
+
+BLOCK_BYTES = 256
+BLOCK_TOKENS = 64
+MAX_EVENTS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prefix was stored or evicted."""
+
+    seq: int
+    kind: str
+    prefix: str
+
+
+def prefixes(prompt: bytes) -> tuple[str, ...]:
+    """Return the hashes of the first 256, 512, ... bytes of a prompt."""
+    hasher = xxhash.xxh64()
+    hashes = []
+    for end in range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES):
+        hasher.update(prompt[end - BLOCK_BYTES : end])
+        hashes.append(hasher.hexdigest())
+    return tuple(hashes)
+
+
+class PrefixCache:
+    """Blocks by the hash of their prefix; the least recently used go first.
+
+    Example:
+        >>> cache = PrefixCache()
+        >>> cache.store(('a', 'b'))
+        >>> cache.lookup(('a', 'x'))
+        64
+    """
+
+    def __init__(self) -> None:
+        self.blocks: collections.OrderedDict = collections.OrderedDict()
+        self.events: collections.deque = collections.deque(maxlen=MAX_EVENTS)
+        self.seq = 0
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the blocks hold, in tokens."""
+        return len(self.blocks) * BLOCK_TOKENS
+
+    def lookup(self, chain: tuple[str, ...]) -> int:
+        """Return how many tokens of a prompt need no prefill."""
+        covered = 0
+        for prefix in chain:
+            if prefix not in self.blocks:
+                break
+            self.blocks.move_to_end(prefix)
+            covered += BLOCK_TOKENS
+        return covered
+
+    def store(self, chain: tuple[str, ...]) -> None:
+        """Keep all blocks of a prompt."""
+        for prefix in chain:
+            if prefix not in self.blocks:
+                self.blocks[prefix] = None
+                self._note('stored', prefix)
+
+    def shrink(self, tokens: int) -> None:
+        """Evict blocks until the cache fits a number of tokens."""
+        while self.tokens > tokens:
+            prefix, _ = self.blocks.popitem(last=False)
+            self._note('evicted', prefix)
+
+    def _note(self, kind: str, prefix: str) -> None:
+        self.seq += 1
+        self.events.append(CacheEvent(self.seq, kind, prefix))
