Engine stream: status from the header, select in place of poll

Cause: pycurl forbids getinfo within a callback and its CurlMulti has no poll; each generation ended as a 500, seen with two daemons before the stand-in engine.

--- a/eelgrassknot/upstreams/engine_stream.py
+++ b/eelgrassknot/upstreams/engine_stream.py
@@ -1,6 +1,7 @@
 """Reads one generation's token stream from an engine."""
 
 import collections
+import time
 
 import msgspec
 import pycurl
@@ -11,7 +12,10 @@
 
 __all__ = ['EngineStream']
 
+NO_SOCKET_PAUSE_MS = 1
+
 _OK = 200
+_STATUS_LINE = b'HTTP/'
 _EVENT_END = b'\n\n'
 _DATA = b'data: '
 _DONE = b'[DONE]'
@@ -42,6 +46,7 @@
         self.url = url
         self.events: collections.deque = collections.deque()
         self.buffer = b''
+        self.status = 0
         self.started = False
         self.ended = False
         self.bytes_in = 0
@@ -49,6 +54,7 @@
         self.multi = pycurl.CurlMulti()
         http_client.configure(self.curl, method, url, body, headers)
         self.curl.setopt(pycurl.FRESH_CONNECT, 1)
+        self.curl.setopt(pycurl.HEADERFUNCTION, self._header)
         self.curl.setopt(pycurl.WRITEFUNCTION, self._received)
         self.multi.add_handle(self.curl)
 
@@ -60,7 +66,7 @@
         """
         self._perform()
         if not self.events and not self.ended:
-            self.multi.poll(timeout_ms / 1000)
+            self._wait(timeout_ms)
             self._perform()
         events = list(self.events)
         self.events.clear()
@@ -73,16 +79,26 @@
         self.curl.close()
         self.multi.close()
 
+    def _wait(self, timeout_ms: float) -> None:
+        # Before the connection has a socket there is nothing to select.
+        if self.multi.select(timeout_ms / 1000) < 0:
+            time.sleep(NO_SOCKET_PAUSE_MS / 1000)
+
     def _perform(self) -> None:
         if self.ended:
             return
         self.multi.perform()
         _, succeeded, failed = self.multi.info_read()
-        for curl in succeeded:
-            self._finished(curl.getinfo(pycurl.RESPONSE_CODE))
+        if succeeded:
+            self._finished()
         for curl, _, reason in failed:
             self._broke(http_client.failure(curl, self.url, reason))
 
+    def _header(self, line: bytes) -> None:
+        # libcurl allows no getinfo within a callback.
+        if line.startswith(_STATUS_LINE):
+            self.status = int(line.split()[1])
+
     def _received(self, data: bytes) -> int | None:
         self.bytes_in += len(data)
         if not self.started and not self._start():
@@ -96,7 +112,7 @@
         return None
 
     def _start(self) -> bool:
-        if self.curl.getinfo(pycurl.RESPONSE_CODE) != _OK:
+        if self.status != _OK:
             return False
         self.started = True
         self.events.append(messages.AnswerStarted())
@@ -121,12 +137,13 @@
                 )
             )
 
-    def _finished(self, status: int) -> None:
+    def _finished(self) -> None:
         if self.ended:
             return
         self.ended = True
-        if status != _OK:
-            self.events.append(messages.AnswerRefused(status, self.buffer))
+        if self.status != _OK:
+            refused = messages.AnswerRefused(self.status, self.buffer)
+            self.events.append(refused)
             return
         self.events.append(
             messages.StreamBroken(
