Relay generations by a state machine that resumes and replaces attempts

A generation request is a sans-I/O machine: attempts are replaced until the first delivered token, silent connections are probed and resumed at our index, and every stretch of time is charged to one part. Signed cursors let a caller go on at any entry VM; cancellations are repeated until the engine confirms them.

--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -7,12 +7,15 @@
 from werkzeug import wrappers
 
 from eelgrassknot.frontend import accounts
+from eelgrassknot.frontend import caller_connection
 from eelgrassknot.frontend import context as contexts
 from eelgrassknot.frontend import dispatching
 from eelgrassknot.frontend import errors
 from eelgrassknot.frontend import generations
 from eelgrassknot.frontend import openai
 from eelgrassknot.frontend import plain_calls
+from eelgrassknot.frontend import relay_part
+from eelgrassknot.frontend import resuming
 from eelgrassknot.frontend import server
 from eelgrassknot import ids
 from eelgrassknot.kernel import events
@@ -23,6 +26,8 @@
 __all__ = ['CallersPart']
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Each request in hand holds one, whether it waits or streams.
+CALLER_THREADS = 512
 MAX_REQUEST_ID_CHARACTERS = 128
 
 _METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
@@ -34,6 +39,11 @@
         routing.Rule(
             '/v1/chat/completions', endpoint='chat', methods=['POST']
         ),
+        routing.Rule(
+            '/v1/generations/<cursor>',
+            endpoint='resume',
+            methods=['GET', 'DELETE'],
+        ),
         routing.Rule('/v1/models', endpoint='models', methods=['GET']),
         routing.Rule(
             '/services/<service>/<path:path>',
@@ -45,22 +55,27 @@
 )
 
 
-@parts.part('callers', after=('dispatch', 'config', 'membership'))
+@parts.part('callers', after=('dispatch', 'config', 'membership', 'relays'))
 class CallersPart(parts.Part):
     """Answers callers, each request in a thread of the server."""
 
     def __init__(self, node: kernel_node.Node) -> None:
         self.node = node
         self.dispatch: dispatching.DispatchPart | None = None
+        self.relays: relay_part.RelayPart | None = None
         self.accounts: accounts.Accounts | None = None
         node.hub.subscribe(events.ConfigAdopted, self._config)
         self.server = server.Server(
-            node.settings.listen.callers, self.application, MAX_BODY_BYTES
+            node.settings.listen.callers,
+            self.application,
+            MAX_BODY_BYTES,
+            CALLER_THREADS,
         )
 
     def start(self) -> None:
         """Listen for callers."""
         self.dispatch = self.node.part_set.parts['dispatch']
+        self.relays = self.node.part_set.parts['relays']
         self.server.start()
 
     def drain(self) -> None:
@@ -103,6 +118,8 @@
         context = contexts.CallContext(
             node=self.node,
             dispatch=self.dispatch,
+            relays=self.relays,
+            caller=http.environ[caller_connection.ENVIRON_KEY],
             http=http,
             request=request,
             text=self.node.text,
@@ -122,6 +139,10 @@
             return generations.generate(context, chat=False)
         case 'chat':
             return generations.generate(context, chat=True)
+        case 'resume' if context.http.method == 'DELETE':
+            return resuming.cancel(context, values['cursor'])
+        case 'resume':
+            return resuming.resume(context, values['cursor'])
         case 'models':
             return _models(context)
         case 'plain':
--- a/eelgrassknot/frontend/dispatching.py
+++ b/eelgrassknot/frontend/dispatching.py
@@ -4,6 +4,7 @@
 import random
 import threading
 
+from eelgrassknot import ids
 from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
@@ -58,20 +59,30 @@
             if future is not None:
                 future.set_result(action)
 
-    def acquire(self, profile: messages.RequestProfile) -> messages.Action:
-        """Wait until a request may be sent or is refused."""
-        return self._wait(profile.request, messages.RequestArrived(profile))
-
-    def retry(self, event: messages.RetryRequested) -> messages.Action:
-        """Wait for another upstream for a request that has not run."""
-        return self._wait(event.request, event)
-
-    def _wait(self, request: str, event: messages.Event) -> messages.Action:
+    def submit(
+        self, event: messages.RequestArrived | messages.RetryRequested
+    ) -> concurrent.futures.Future:
+        """Have a request placed.
+
+        Returns:
+            Future that gives the action: dispatch or refuse.
+        """
+        match event:
+            case messages.RequestArrived(profile):
+                request = profile.request
+            case messages.RetryRequested(request):
+                pass
         future: concurrent.futures.Future = concurrent.futures.Future()
         with self.lock:
             self.waiting[request] = future
         self.tell(event)
-        return future.result()
+        return future
+
+    def cancel(self, request: ids.RequestId) -> None:
+        """Give up a request that may not have been placed yet."""
+        with self.lock:
+            self.waiting.pop(request, None)
+        self.tell(messages.RequestCancelled(request))
 
     def _tick(self) -> None:
         while not self.stopped.wait(TICK_MS / 1000):
--- a/eelgrassknot/frontend/plain_calls.py
+++ b/eelgrassknot/frontend/plain_calls.py
@@ -38,7 +38,7 @@
         max_tokens=None,
         deadline_ms=context.deadline_ms,
     )
-    action = context.dispatch.acquire(profile)
+    action = context.dispatch.submit(policy.RequestArrived(profile)).result()
     try:
         match action:
             case policy.Refuse(_, reason, retry_after_ms):
--- a/eelgrassknot/frontend/server.py
+++ b/eelgrassknot/frontend/server.py
@@ -5,17 +5,31 @@
 
 from cheroot import wsgi
 
+from eelgrassknot.frontend import caller_connection
 from eelgrassknot import logs
 from eelgrassknot.settings import vm as vm_settings
 
 __all__ = ['Server']
 
-MIN_THREADS = 16
-MAX_THREADS = 512
+THREADS = 4
 MAX_HEADER_BYTES = 65_536
 IDLE_TIMEOUT_S = 10
 SHUTDOWN_TIMEOUT_S = 1
 ACCEPT_BACKLOG = 512
+# A request that was sent before the caller heard that this VM leaves
+# arrives within this time.
+QUIET_MS = 500.0
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Passes the caller's connection on to the application."""
+
+    version = (1, 0)
+
+    def get_environ(self) -> dict[str, object]:
+        environ = super().get_environ()
+        environ[caller_connection.ENVIRON_KEY] = self.req.conn
+        return environ
 
 
 class Server:
@@ -25,6 +39,11 @@
         address: ``IP:port`` to listen on.
         application: The WSGI application.
         max_body_bytes: Bound on the size of a request's body.
+        threads: How many requests can be in hand at once.
+
+    Attributes:
+        in_hand: Requests whose answers have not been sent yet.
+        draining: Whether callers are asked to close their connections.
     """
 
     def __init__(
@@ -32,19 +51,24 @@
         address: str,
         application: collections.abc.Callable,
         max_body_bytes: int = 0,
+        threads: int = THREADS,
     ) -> None:
         self.application = application
         self.in_hand = 0
+        self.served = 0
+        self.draining = False
         self.idle = threading.Condition()
         self.server = wsgi.Server(
             vm_settings.split_address(address),
             self._count,
-            numthreads=MIN_THREADS,
-            max=MAX_THREADS,
+            numthreads=threads,
+            max=threads,
             request_queue_size=ACCEPT_BACKLOG,
             timeout=IDLE_TIMEOUT_S,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
+        self.server.gateway = _Gateway
+        self.server.ConnectionClass = caller_connection.CallerConnection
         self.server.max_request_header_size = MAX_HEADER_BYTES
         self.server.max_request_body_size = max_body_bytes
         self.server.error_log = _log_error
@@ -59,10 +83,25 @@
         self.server.prepare()
         self.thread.start()
 
+    def announce_drain(self) -> None:
+        """Have callers use other connections after their next answer."""
+        self.draining = True
+
     def drain(self) -> None:
-        """Wait until no request is in hand."""
+        """Wait until no request is in hand and none has come for a while.
+
+        What still arrives meanwhile is served.
+        """
+        self.draining = True
         with self.idle:
-            self.idle.wait_for(lambda: self.in_hand == 0)
+            while True:
+                served = self.served
+                self.idle.wait_for(lambda: self.in_hand == 0)
+                self.idle.wait_for(
+                    lambda: self.served != served, QUIET_MS / 1000
+                )
+                if self.in_hand == 0 and self.served == served:
+                    return
 
     def stop(self) -> None:
         """Close the listener and all connections."""
@@ -71,13 +110,25 @@
     def _count(self, environ, start_response):
         with self.idle:
             self.in_hand += 1
+            self.served += 1
+            self.idle.notify_all()
         try:
-            body = self.application(environ, start_response)
+            body = self.application(environ, self._closing(start_response))
         except BaseException:
             self._finished()
             raise
         return _Counted(body, self._finished)
 
+    def _closing(self, start_response):
+        if not self.draining:
+            return start_response
+
+        def start(status, headers, *rest):
+            closing = [*headers, ('Connection', 'close')]
+            return start_response(status, closing, *rest)
+
+        return start
+
     def _finished(self) -> None:
         with self.idle:
             self.in_hand -= 1
