--- a/tests/generation_world.py
+++ b/tests/generation_world.py
@@ -86,14 +86,22 @@
         self.machine = None
 
     @stateful.initialize(
-        streamed=strategies.booleans(), hurried=strategies.booleans()
+        streamed=strategies.booleans(),
+        hurried=strategies.booleans(),
+        lead=strategies.integers(0, 3),
     )
-    def arrive(self, streamed, hurried):
-        """Begin a request."""
+    def arrive(self, streamed, hurried, lead):
+        """Begin a request, which often has its first tokens soon."""
         deadline_ms = 5_000.0 if hurried else None
         self.streamed = streamed
         self.machine = self.machine_class(REQUEST, streamed, deadline_ms, 0.0)
         self.placements = 1
+        if not lead:
+            return
+        self.place(refused=1)
+        self.engine_hears(kind=1, length=5)
+        self.produce(kind=0, count=3)
+        self.receive(kind=1, count=lead)
 
     def tell(self, event):
         """Tell the machine and do what it wants."""
@@ -198,15 +206,26 @@
         if one.state is not states.GenerationState.DONE:
             one.state = states.GenerationState(state)
 
-    @stateful.precondition(lambda self: self.links)
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(kind=_KINDS, count=strategies.integers(1, 3))
+    def receive(self, kind, count):
+        """The next tokens come by a connection."""
+        for _ in range(count):
+            self.receive_one(kind, 'none')
+
+    @stateful.precondition(lambda self: self.running)
     @stateful.rule(
         kind=_KINDS,
         fault=strategies.sampled_from(
-            ['none', 'none', 'none', 'repeat', 'skip', 'crossed', 'stranger']
+            ['repeat', 'skip', 'crossed', 'stranger']
         ),
     )
-    def receive(self, kind, fault):
-        """A token comes by a connection, perhaps a wrong one."""
+    def receive_wrong(self, kind, fault):
+        """A wrong token comes by a connection."""
+        self.receive_one(kind, fault)
+
+    def receive_one(self, kind, fault):
+        """Pass on one token of a connection."""
         link = self.link(kind)
         one = self.running.get(link.generation)
         if one is None or not link.started:
