Ask whether a caller is gone without waiting

Cause: a read with MSG_DONTWAIT on a Python socket that has a timeout waits for data up to that timeout and then raises, so every caller was taken for gone after 10 s: each stream ended as 504 incomplete in a run of two daemons.

--- a/eelgrassknot/frontend/caller_connection.py
+++ b/eelgrassknot/frontend/caller_connection.py
@@ -1,11 +1,17 @@
 """The connection of a caller: cheap writes, and whether it is gone."""
 
+import select
 import socket
 import typing
 
 from cheroot import server as cheroot_server
 
-__all__ = ['CallerConnection', 'ENVIRON_KEY', 'SocketWriter']
+__all__ = [
+    'CallerConnection',
+    'ENVIRON_KEY',
+    'SocketWriter',
+    'peer_closed',
+]
 
 ENVIRON_KEY = 'eelgrassknot.caller'
 # A caller whose machine is gone acknowledges nothing; the kernel then
@@ -67,10 +73,18 @@
 
     def is_gone(self) -> bool:
         """Return whether the caller has closed its connection."""
-        try:
-            peeked = self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return not peeked
+        return peer_closed(self.socket)
+
+
+def peer_closed(sock: socket.socket) -> bool:
+    """Return at once whether the other end has closed a connection."""
+    # A socket with a timeout waits for data even when a read is told
+    # not to, so ask first whether there is any.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    if not poller.poll(0):
+        return False
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
