--- /dev/null
+++ b/eelgrassknot/coordination/digest.py
@@ -0,0 +1,198 @@
+"""Digests: what the VMs of a zone tell each other of load and demand.
+
+Each VM tells what it observed as an upstream's observer, what it holds
+by its own dispatches, and its accounts' demand, as deltas within a
+budget of bytes. Gateways carry sums by zone and service to other zones.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from eelgrassknot.coordination import delta_queue
+from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.coordination import rendezvous
+from eelgrassknot import ids
+from eelgrassknot.kernel import events
+
+__all__ = ['Digest', 'Payload', 'ZoneKey']
+
+LOAD_BYTES = 28
+HELD_BYTES = 11
+DEMAND_BYTES = 9
+ZONE_BYTES = 56
+LOAD_REFRESH_MS = 1_000.0
+HELD_REFRESH_MS = 2_000.0
+DEMAND_REFRESH_MS = 2_000.0
+ZONE_REFRESH_MS = 4_000.0
+LOAD_SHARE = 0.6
+HELD_SHARE = 0.6
+ZONE_SHARE = 0.4
+# Older than this, a load no longer counts in the sums of its zone.
+SUM_MAX_AGE_MS = 10_000.0
+
+ZoneKey = tuple[ids.AvailabilityZoneId, ids.ServiceName]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Payload:
+    """What goes out with the next heartbeat."""
+
+    loads: tuple[messages.LoadEntry, ...]
+    held: tuple[messages.HeldEntry, ...]
+    demands: tuple[messages.DemandEntry, ...]
+    zones: tuple[messages.ZoneLoad, ...]
+
+
+class Digest:
+    """What one VM tells and has been told.
+
+    Args:
+        availability_zone: Zone of this VM.
+
+    Attributes:
+        upstreams: Upstream of each name hash; two of the same hash are
+            left out, as entries could not be told apart.
+        loads: Newest load of each upstream of the zone and when it came.
+
+    Example:
+        >>> digest = Digest('zone')
+        >>> digest.take(1_000, 0.0).loads
+        ()
+    """
+
+    def __init__(self, availability_zone: ids.AvailabilityZoneId) -> None:
+        self.availability_zone = availability_zone
+        self.upstreams: dict[int, events.UpstreamInfo] = {}
+        self.loads: dict[int, tuple[messages.LoadEntry, float]] = {}
+        self.own_loads = delta_queue.DeltaQueue(LOAD_BYTES, LOAD_REFRESH_MS)
+        self.held = delta_queue.DeltaQueue(HELD_BYTES, HELD_REFRESH_MS)
+        self.demands = delta_queue.DeltaQueue(DEMAND_BYTES, DEMAND_REFRESH_MS)
+        self.zones = delta_queue.DeltaQueue(ZONE_BYTES, ZONE_REFRESH_MS)
+
+    def know(
+        self, upstreams: collections.abc.Sequence[events.UpstreamInfo]
+    ) -> None:
+        """Take in the whole set of upstreams."""
+        hashes = [rendezvous.name_hash(info.upstream) for info in upstreams]
+        counts = collections.Counter(hashes)
+        self.upstreams = {
+            key: info
+            for key, info in zip(hashes, upstreams, strict=True)
+            if counts[key] == 1
+        }
+        for key in list(self.loads):
+            if key not in self.upstreams:
+                del self.loads[key]
+        for queue in (self.own_loads, self.held):
+            for key in list(queue.entries):
+                if key not in self.upstreams:
+                    queue.remove(key)
+
+    def observed(self, entry: messages.LoadEntry, now_ms: float) -> None:
+        """Take in a load that this VM observed itself."""
+        if entry.upstream in self.upstreams:
+            self.own_loads.offer(entry.upstream, entry)
+            self.loads[entry.upstream] = (entry, now_ms)
+
+    def told(self, entry: messages.LoadEntry, now_ms: float) -> bool:
+        """Take in a load that a peer observed.
+
+        Returns:
+            Whether it is of a known upstream and newer than what was
+            known; messages may be repeated or overtake each other.
+        """
+        if entry.upstream not in self.upstreams:
+            return False
+        known = self.loads.get(entry.upstream)
+        if known is not None and entry.at_ms < known[0].at_ms:
+            # A restarted upstream's clock may begin anew.
+            if now_ms - known[1] < SUM_MAX_AGE_MS:
+                return False
+        self.loads[entry.upstream] = (entry, now_ms)
+        # Whoever else observes it tells it; this VM need not.
+        self.own_loads.remove(entry.upstream)
+        return True
+
+    def announce(
+        self,
+        held: collections.abc.Mapping[ids.UpstreamId, tuple[int, int]],
+        demands: collections.abc.Mapping[ids.ClientAccountId, float],
+    ) -> None:
+        """Take in what the dispatcher wants peers to know.
+
+        Args:
+            held: Running requests and expected tokens by upstream.
+            demands: Requests a second by client account. Accounts that
+                are left out are told as zero once.
+        """
+        for upstream, (running, expected_tokens) in held.items():
+            key = rendezvous.name_hash(upstream)
+            entry = messages.HeldEntry(key, running, expected_tokens)
+            if running or key in self.held.entries:
+                self.held.offer(key, entry)
+        present = set()
+        for account, rate in demands.items():
+            key = rendezvous.name_hash(account)
+            present.add(key)
+            self.demands.offer(key, messages.DemandEntry(key, _milli(rate)))
+        for key, entry in list(self.demands.entries.items()):
+            if key in present:
+                continue
+            if entry.value.milli_requests_per_second or entry.changed:
+                self.demands.offer(key, messages.DemandEntry(key, 0))
+            else:
+                self.demands.remove(key)
+
+    def forward(self, loads: collections.abc.Iterable) -> None:
+        """Pass sums of other zones on to the peers of this one."""
+        for load in loads:
+            key = (load.availability_zone, load.service)
+            self.zones.offer(key, load)
+
+    def zone_loads(self, now_ms: float) -> tuple[messages.ZoneLoad, ...]:
+        """Return the sums of this zone by service, for other zones."""
+        sums: dict[ids.ServiceName, list[int]] = {}
+        for key, (entry, heard_ms) in self.loads.items():
+            info = self.upstreams[key]
+            if info.availability_zone != self.availability_zone:
+                continue
+            if now_ms - heard_ms > SUM_MAX_AGE_MS or not entry.reachable:
+                continue
+            figures = (
+                1,
+                entry.kv_tokens_used,
+                entry.kv_tokens_total,
+                entry.running,
+                entry.waiting,
+                entry.preemptions,
+            )
+            total = sums.get(info.service, [0] * len(figures))
+            sums[info.service] = [
+                a + b for a, b in zip(total, figures, strict=True)
+            ]
+        return tuple(
+            messages.ZoneLoad(self.availability_zone, service, *total)
+            for service, total in sorted(sums.items())
+        )
+
+    def take(self, budget_bytes: float, now_ms: float) -> Payload:
+        """Return what goes out with the next heartbeat.
+
+        Args:
+            budget_bytes: About how many bytes it may take.
+            now_ms: The present time.
+        """
+        left = budget_bytes
+        loads = self.own_loads.take(left * LOAD_SHARE, now_ms)
+        left -= len(loads) * LOAD_BYTES
+        held = self.held.take(left * HELD_SHARE, now_ms)
+        left -= len(held) * HELD_BYTES
+        zones = self.zones.take(left * ZONE_SHARE, now_ms)
+        left -= len(zones) * ZONE_BYTES
+        demands = self.demands.take(left, now_ms)
+        return Payload(tuple(loads), tuple(held), tuple(demands), tuple(zones))
+
+
+def _milli(rate: float) -> int:
+    return round(rate * 1_000)
--- /dev/null
+++ b/eelgrassknot/coordination/peer_link.py
@@ -0,0 +1,313 @@
+"""Link to the other daemons by zmq: never blocks, drops and counts.
+
+Each VM binds one PULL socket and connects one PUSH socket to each peer
+that it sends to. The library's own pings over each connection find one
+that has gone silent and replace it by a new one.
+"""
+
+import collections
+import collections.abc
+import concurrent.futures
+import threading
+
+import result
+import zmq
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import peer_codec
+from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot import logs
+
+__all__ = ['LinkCounters', 'PeerLink']
+
+SEND_QUEUE_MESSAGES = 64
+RECEIVE_QUEUE_MESSAGES = 4_096
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+PING_INTERVAL_MS = 2_000
+# A connection without any sign of life for so long is replaced.
+SILENCE_LIMIT_MS = 5_000
+CONNECT_TIMEOUT_MS = 2_000
+RECONNECT_MS = 200
+MAX_RECONNECT_MS = 3_000
+POLL_MS = 100
+
+Handler = collections.abc.Callable[[messages.Envelope], None]
+QueryHandler = collections.abc.Callable[
+    [ids.VmId, object], messages.ConfigReply | messages.OwnerReply
+]
+
+
+class LinkCounters:
+    """What passed over the link, by kind of message.
+
+    Attributes:
+        sent: Messages that were handed to a connection.
+        dropped: Messages that found no connection or a full queue.
+        rejected: Received messages that were not taken in, by reason.
+    """
+
+    def __init__(self) -> None:
+        self.sent: collections.Counter = collections.Counter()
+        self.sent_bytes: collections.Counter = collections.Counter()
+        self.dropped: collections.Counter = collections.Counter()
+        self.received: collections.Counter = collections.Counter()
+        self.received_bytes: collections.Counter = collections.Counter()
+        self.rejected: collections.Counter = collections.Counter()
+
+
+class PeerLink:
+    """Sends to peers and hands what they send to handlers.
+
+    Handlers run in the link's one receiving thread and must be short.
+
+    Args:
+        listen: ``IP:port`` to bind; port 0 lets the system choose.
+        codec: Signs and checks the messages.
+        clock: Time for the replay guard.
+
+    Attributes:
+        address: Address that is bound, once started.
+        addresses: Address of each peer that is connected, by name.
+
+    Example:
+        >>> codec = peer_codec.PeerCodec('a', 'i', 0, [b'k' * 32])
+        >>> link = PeerLink('127.0.0.1:0', codec, clocks.MonotonicClock())
+        >>> link.start()
+        >>> link.send('b', messages.Heartbeat(1))
+        False
+        >>> link.stop()
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        codec: peer_codec.PeerCodec,
+        clock: clocks.Clock,
+    ) -> None:
+        self.listen = listen
+        self.codec = codec
+        self.clock = clock
+        self.context = zmq.Context()
+        self.address = listen
+        self.addresses: dict[str, str] = {}
+        self.sockets: dict[str, zmq.Socket] = {}
+        self.handlers: dict[type, Handler] = {}
+        self.queries: dict[type, QueryHandler] = {}
+        self.waiting: dict[int, concurrent.futures.Future] = {}
+        self.requests = 0
+        self.counters = LinkCounters()
+        # Guards the sending sockets, which several threads use in turn,
+        # and keeps messages in the order of their sequence numbers.
+        self.lock = threading.Lock()
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(
+            target=self._run, name='peer-link', daemon=True
+        )
+
+    def start(self) -> None:
+        """Bind and begin to receive.
+
+        Raises:
+            SettingsError: If the address cannot be bound.
+        """
+        self.puller = self.context.socket(zmq.PULL)
+        self.puller.setsockopt(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        self.puller.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self.puller.setsockopt(zmq.LINGER, 0)
+        _set_pings(self.puller)
+        try:
+            self.puller.bind(f'tcp://{self.listen}')
+        except zmq.ZMQError as error:
+            raise exceptions.SettingsError(
+                f'cannot listen to peers on {self.listen}: {error}',
+                'name a free address of this VM as listen.peers',
+            ) from error
+        endpoint = self.puller.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.address = endpoint.removeprefix('tcp://')
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Close all sockets; messages that wait are given up."""
+        self.stopped.set()
+        if self.thread.ident is not None:
+            self.thread.join()
+        with self.lock:
+            for socket in self.sockets.values():
+                socket.close(linger=0)
+            self.sockets.clear()
+        self.context.term()
+
+    def on_message(self, kind: type, handler: Handler) -> None:
+        """Have a handler called with each message of a class."""
+        self.handlers[kind] = handler
+
+    def on_query(self, kind: type, handler: QueryHandler) -> None:
+        """Have a handler answer each question of a class."""
+        self.queries[kind] = handler
+
+    def connect(self, name: str, address: str) -> None:
+        """Connect to a peer, anew if its address has changed.
+
+        Args:
+            name: The peer's VM, or any name while it is not known.
+            address: ``IP:port`` on which it listens to peers.
+        """
+        with self.lock:
+            if self.addresses.get(name) == address or self.stopped.is_set():
+                return
+            self._close(name)
+            self.sockets[name] = self._open(address)
+            self.addresses[name] = address
+
+    def disconnect(self, name: str) -> None:
+        """Close the connection to a peer, if there is one."""
+        with self.lock:
+            self._close(name)
+
+    def send(self, name: str, message: messages.Message) -> bool:
+        """Send to one peer; return whether a connection took it."""
+        kind = type(message).__name__
+        # A name that stands for an address is no VM to be addressed.
+        to = '' if name == self.addresses.get(name) else name
+        with self.lock:
+            data = self.codec.encode(message, to)
+            return self._push(name, kind, data)
+
+    def broadcast(
+        self,
+        names: collections.abc.Iterable[str],
+        message: messages.Message,
+    ) -> int:
+        """Send the same bytes to several peers.
+
+        Returns:
+            To how many of them a connection took it.
+        """
+        kind = type(message).__name__
+        with self.lock:
+            data = self.codec.encode(message)
+            return sum(self._push(name, kind, data) for name in names)
+
+    def ask(
+        self, name: str, query: messages.ConfigFetch | messages.OwnerQuery
+    ) -> concurrent.futures.Future:
+        """Ask a peer; the future is given its reply if one comes."""
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        with self.lock:
+            self.requests += 1
+            number = self.requests
+            self.waiting[number] = future
+        future.add_done_callback(lambda _: self.waiting.pop(number, None))
+        if not self.send(name, messages.Request(number, query)):
+            future.cancel()
+        return future
+
+    def request(
+        self,
+        name: str,
+        query: messages.ConfigFetch | messages.OwnerQuery,
+        timeout_ms: float,
+    ) -> result.Result[object, exceptions.UpstreamError]:
+        """Ask a peer and wait for its reply.
+
+        Args:
+            name: The peer.
+            query: The question.
+            timeout_ms: How long to wait, in milliseconds.
+        """
+        future = self.ask(name, query)
+        try:
+            return result.Ok(future.result(timeout_ms / clocks.MS_PER_SECOND))
+        except (
+            concurrent.futures.TimeoutError,
+            concurrent.futures.CancelledError,
+        ):
+            future.cancel()
+            error = exceptions.UpstreamError(
+                f'no answer from {name}', 'ask again or ask another VM', True
+            )
+            return result.Err(error)
+
+    def _open(self, address: str) -> zmq.Socket:
+        socket = self.context.socket(zmq.PUSH)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.LINGER, 0)
+        # Without a connection a message is dropped rather than kept:
+        # the next one tells more.
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+        _set_pings(socket)
+        socket.connect(f'tcp://{address}')
+        return socket
+
+    def _close(self, name: str) -> None:
+        self.addresses.pop(name, None)
+        socket = self.sockets.pop(name, None)
+        if socket is not None:
+            socket.close(linger=0)
+
+    def _push(self, name: str, kind: str, data: bytes) -> bool:
+        socket = self.sockets.get(name)
+        if socket is None:
+            self.counters.dropped[kind] += 1
+            return False
+        try:
+            socket.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self.counters.dropped[kind] += 1
+            return False
+        self.counters.sent[kind] += 1
+        self.counters.sent_bytes[kind] += len(data)
+        return True
+
+    def _run(self) -> None:
+        while not self.stopped.is_set():
+            if self.puller.poll(POLL_MS):
+                self._drain()
+        self.puller.close(linger=0)
+
+    def _drain(self) -> None:
+        while True:
+            try:
+                data = self.puller.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        match self.codec.decode(data, self.clock.now_ms()):
+            case result.Err(rejection):
+                self.counters.rejected[rejection.value] += 1
+            case result.Ok(envelope):
+                kind = type(envelope.message).__name__
+                self.counters.received[kind] += 1
+                self.counters.received_bytes[kind] += len(data)
+                try:
+                    self._hand_over(envelope)
+                except Exception as error:
+                    # One bad message must not end the link.
+                    logs.error('peer_message_failed', why=error, kind=kind)
+
+    def _hand_over(self, envelope: messages.Envelope) -> None:
+        match envelope.message:
+            case messages.Request(number, query):
+                answer = self.queries[type(query)](envelope.vm, query)
+                self.send(envelope.vm, messages.Reply(number, answer))
+            case messages.Reply(number, answer):
+                future = self.waiting.get(number)
+                if future is not None and not future.done():
+                    future.set_result(answer)
+            case message:
+                handler = self.handlers.get(type(message))
+                if handler is not None:
+                    handler(envelope)
+
+
+def _set_pings(socket: zmq.Socket) -> None:
+    socket.setsockopt(zmq.HEARTBEAT_IVL, PING_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_LIMIT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, SILENCE_LIMIT_MS)
--- /dev/null
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -0,0 +1,187 @@
+"""Messages between the daemons of one deployment.
+
+They are encoded as msgpack arrays with a short tag, as most of them are
+sent every second to each peer of the zone.
+"""
+
+import msgspec
+
+from eelgrassknot.coordination import rows
+from eelgrassknot import ids
+
+__all__ = [
+    'ConfigFetch',
+    'ConfigReply',
+    'DemandEntry',
+    'Envelope',
+    'Heartbeat',
+    'HeldEntry',
+    'Introduction',
+    'LoadEntry',
+    'Message',
+    'OwnerQuery',
+    'OwnerReply',
+    'ReaderTaken',
+    'Reply',
+    'Request',
+    'ZoneLoad',
+]
+
+
+class LoadEntry(msgspec.Struct, array_like=True, frozen=True):
+    """Load of one upstream as its observer read it.
+
+    Attributes:
+        upstream: 32-bit hash of the upstream's name.
+        at_ms: Time on the upstream's own clock.
+        reachable: Whether the observer could reach it.
+        leaving: Whether the upstream said that it leaves.
+    """
+
+    upstream: int
+    at_ms: int
+    kv_tokens_used: int
+    kv_tokens_total: int
+    running: int
+    waiting: int
+    preemptions: int
+    reachable: bool = True
+    leaving: bool = False
+
+
+class HeldEntry(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender holds at one upstream by its own dispatches."""
+
+    upstream: int
+    running: int
+    expected_tokens: int
+
+
+class DemandEntry(msgspec.Struct, array_like=True, frozen=True):
+    """How much of the sender's traffic a client account makes.
+
+    Attributes:
+        client_account: 32-bit hash of the account's name.
+        milli_requests_per_second: Thousandths of a request a second.
+    """
+
+    client_account: int
+    milli_requests_per_second: int
+
+
+class ZoneLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Load of one service in one zone, summed over its upstreams."""
+
+    availability_zone: ids.AvailabilityZoneId
+    service: ids.ServiceName
+    upstreams: int
+    kv_tokens_used: int
+    kv_tokens_total: int
+    running: int
+    waiting: int
+    preemptions: int
+
+
+class Heartbeat(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """Says that the sender lives, and what has changed there.
+
+    Attributes:
+        unheard: Peers of the zone that the sender does not hear.
+        loads: Loads that the sender observed.
+        held: What the sender holds by its own dispatches.
+        demands: Demand of client accounts at the sender.
+        zones: Loads of zones, forwarded to and from other zones.
+    """
+
+    config_version: ids.ConfigVersion
+    leaving: bool = False
+    unheard: tuple[ids.VmId, ...] = ()
+    loads: tuple[LoadEntry, ...] = ()
+    held: tuple[HeldEntry, ...] = ()
+    demands: tuple[DemandEntry, ...] = ()
+    zones: tuple[ZoneLoad, ...] = ()
+
+
+class Introduction(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """Says where the sender is; sent seldom and to new peers.
+
+    Attributes:
+        address: ``IP:port`` on which the sender listens to peers.
+        answer: Whether the sender wants an introduction in return.
+    """
+
+    address: str
+    availability_zone: ids.AvailabilityZoneId
+    region: ids.RegionId
+    answer: bool
+
+
+class ConfigFetch(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    """Asks for the services text that is in force at the receiver."""
+
+
+class ConfigReply(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    """The services text in force, or None.
+
+    Attributes:
+        record: The accepted text; its document is left empty.
+        document: The document, compressed by zlib.
+    """
+
+    record: rows.ConfigRecord | None
+    document: bytes
+
+
+class OwnerQuery(msgspec.Struct, array_like=True, tag=5, frozen=True):
+    """Asks the owner of a claim whether the call may still run."""
+
+    incarnation: ids.IncarnationId
+    nonce: ids.Nonce
+
+
+class OwnerReply(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """What the owner says; one of the values of ``OwnerAnswer``."""
+
+    answer: str
+
+
+class ReaderTaken(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """Says that another VM reads a generation from now on."""
+
+    generation: ids.GenerationId
+    by: ids.VmId
+
+
+class Request(msgspec.Struct, array_like=True, tag=8, frozen=True):
+    """A question that wants a reply."""
+
+    request: int
+    query: ConfigFetch | OwnerQuery
+
+
+class Reply(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """The reply to a question."""
+
+    request: int
+    answer: ConfigReply | OwnerReply
+
+
+Message = Heartbeat | Introduction | ReaderTaken | Request | Reply
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message with its sender; this is what the MAC covers.
+
+    Attributes:
+        started_ms: Wall-clock time at which the sender's run began, in
+            milliseconds since 1970.
+        sequence: Number of the message in the sender's run.
+        to: VM that it is meant for; empty for all.
+    """
+
+    vm: ids.VmId
+    incarnation: ids.IncarnationId
+    started_ms: int
+    sequence: int
+    to: ids.VmId
+    message: Message
