--- a/eelgrassknot/coordination/digest.py
+++ b/eelgrassknot/coordination/digest.py
@@ -15,7 +15,7 @@
 from eelgrassknot import ids
 from eelgrassknot.kernel import events
 
-__all__ = ['Digest', 'Payload', 'ZoneKey']
+__all__ = ['Digest', 'Payload', 'upstream_key']
 
 LOAD_BYTES = 28
 HELD_BYTES = 11
@@ -30,8 +30,7 @@
 ZONE_SHARE = 0.4
 # Older than this, a load no longer counts in the sums of its zone.
 SUM_MAX_AGE_MS = 10_000.0
-
-ZoneKey = tuple[ids.AvailabilityZoneId, ids.ServiceName]
+MAX_CACHE_ENTRIES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +41,7 @@
     held: tuple[messages.HeldEntry, ...]
     demands: tuple[messages.DemandEntry, ...]
     zones: tuple[messages.ZoneLoad, ...]
+    cache: tuple[messages.CacheEntry, ...]
 
 
 class Digest:
@@ -64,23 +64,31 @@
     def __init__(self, availability_zone: ids.AvailabilityZoneId) -> None:
         self.availability_zone = availability_zone
         self.upstreams: dict[int, events.UpstreamInfo] = {}
+        self.keys: dict[ids.UpstreamId, int] = {}
         self.loads: dict[int, tuple[messages.LoadEntry, float]] = {}
         self.own_loads = delta_queue.DeltaQueue(LOAD_BYTES, LOAD_REFRESH_MS)
         self.held = delta_queue.DeltaQueue(HELD_BYTES, HELD_REFRESH_MS)
         self.demands = delta_queue.DeltaQueue(DEMAND_BYTES, DEMAND_REFRESH_MS)
         self.zones = delta_queue.DeltaQueue(ZONE_BYTES, ZONE_REFRESH_MS)
+        # Cache events are hints; the oldest give way.
+        self.cache: collections.deque = collections.deque(
+            maxlen=MAX_CACHE_ENTRIES
+        )
 
     def know(
         self, upstreams: collections.abc.Sequence[events.UpstreamInfo]
     ) -> None:
         """Take in the whole set of upstreams."""
-        hashes = [rendezvous.name_hash(info.upstream) for info in upstreams]
+        hashes = [upstream_key(info) for info in upstreams]
         counts = collections.Counter(hashes)
         self.upstreams = {
             key: info
             for key, info in zip(hashes, upstreams, strict=True)
             if counts[key] == 1
         }
+        self.keys = {
+            info.upstream: key for key, info in self.upstreams.items()
+        }
         for key in list(self.loads):
             if key not in self.upstreams:
                 del self.loads[key]
@@ -127,10 +135,11 @@
                 are left out are told as zero once.
         """
         for upstream, (running, expected_tokens) in held.items():
-            key = rendezvous.name_hash(upstream)
+            key = self.keys.get(upstream)
+            if key is None or not (running or key in self.held.entries):
+                continue
             entry = messages.HeldEntry(key, running, expected_tokens)
-            if running or key in self.held.entries:
-                self.held.offer(key, entry)
+            self.held.offer(key, entry)
         present = set()
         for account, rate in demands.items():
             key = rendezvous.name_hash(account)
@@ -153,11 +162,14 @@
     def zone_loads(self, now_ms: float) -> tuple[messages.ZoneLoad, ...]:
         """Return the sums of this zone by service, for other zones."""
         sums: dict[ids.ServiceName, list[int]] = {}
+        leaving: dict[ids.ServiceName, list[int]] = {}
         for key, (entry, heard_ms) in self.loads.items():
             info = self.upstreams[key]
             if info.availability_zone != self.availability_zone:
                 continue
-            if now_ms - heard_ms > SUM_MAX_AGE_MS or not entry.reachable:
+            if entry.leaving:
+                leaving.setdefault(info.service, []).append(key)
+            if now_ms - heard_ms > SUM_MAX_AGE_MS:
                 continue
             figures = (
                 1,
@@ -172,7 +184,12 @@
                 a + b for a, b in zip(total, figures, strict=True)
             ]
         return tuple(
-            messages.ZoneLoad(self.availability_zone, service, *total)
+            messages.ZoneLoad(
+                self.availability_zone,
+                service,
+                *total,
+                tuple(leaving.get(service, ())),
+            )
             for service, total in sorted(sums.items())
         )
 
@@ -194,5 +211,14 @@
         return Payload(tuple(loads), tuple(held), tuple(demands), tuple(zones))
 
 
+def upstream_key(info: events.UpstreamInfo) -> int:
+    """Return the hash that stands for an upstream in digests.
+
+    The address is part of it, so that news of one incarnation is never
+    taken for news of the one that has its name by now.
+    """
+    return rendezvous.name_hash(f'{info.upstream}@{info.address}')
+
+
 def _milli(rate: float) -> int:
     return round(rate * 1_000)
--- /dev/null
+++ b/eelgrassknot/coordination/lease_part.py
@@ -0,0 +1,214 @@
+"""Part of the daemon that takes part in the lease of its region."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import random
+import threading
+import time
+
+import result
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import lease as leases
+from eelgrassknot.coordination import lease_messages as messages
+from eelgrassknot.coordination import rendezvous
+from eelgrassknot.coordination import rows
+from eelgrassknot.coordination import stagger
+from eelgrassknot.coordination import ticker
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot.kernel import node as kernel_node
+from eelgrassknot.kernel import parts
+from eelgrassknot import logs
+from eelgrassknot.platforms import base
+
+__all__ = ['LeaseEnded', 'LeaseHeld', 'LeasePart']
+
+TICK_MS = 200.0
+RETRY_S = 0.3
+STAGGER = 'rank'
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseHeld:
+    """This VM may give orders from now on.
+
+    Attributes:
+        fencing: Fencing number of its orders.
+        condition: Holds in the table as long as no other VM has taken
+            the lease over; goes with each write that a holder makes.
+    """
+
+    fencing: ids.FencingNumber
+    condition: base.Condition
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseEnded:
+    """This VM may give no orders under a fencing number any more."""
+
+    fencing: ids.FencingNumber
+
+
+@parts.part('lease', after=('membership',))
+class LeasePart(parts.Part):
+    """Reads and writes the lease's row as the lease decides."""
+
+    def __init__(self, node: kernel_node.Node) -> None:
+        self.node = node
+        self.region = node.settings.region
+        self.table = node.platform.table
+        self.lease = leases.Lease(
+            node.settings.vm,
+            node.incarnation,
+            stagger.STAGGERS.lookup(STAGGER),
+            random.Random(node.generator.random()),
+        )
+        self.held: LeaseHeld | None = None
+        self.lock = threading.Lock()
+        self.executor = concurrent.futures.ThreadPoolExecutor(1, 'lease')
+        self.ticker = ticker.Ticker('lease', TICK_MS, self._tick)
+
+    def start(self) -> None:
+        """Begin to watch the lease."""
+        self.membership = self.node.part_set.parts['membership']
+        self.ticker.start()
+
+    def drain(self) -> None:
+        """Give the lease up, so that nobody waits for it to lapse."""
+        self._tell(messages.Release())
+
+    def stop(self) -> None:
+        """Watch no more."""
+        self.ticker.stop()
+        self.executor.shutdown(wait=True)
+
+    def may_act(self, fencing: ids.FencingNumber) -> bool:
+        """Return whether an order may be given at this very time."""
+        lease = self.lease
+        if lease.epoch != fencing:
+            return False
+        return lease.may_act(self.node.clock.now_ms())
+
+    def status(self) -> dict[str, object]:
+        """Return the lease as this VM knows it."""
+        record = self.lease.record
+        return {
+            'lease': {
+                'region': self.region,
+                'holder': record.holder if record else None,
+                'epoch': record.epoch if record else 0,
+                'held_here': self.held is not None,
+            }
+        }
+
+    def _tick(self) -> None:
+        members = self.membership.live_region_members()
+        ranked = rendezvous.ranked(self.region, members)
+        rank = ranked.index(self.node.settings.vm)
+        self._tell(messages.Tick(rank, len(ranked)))
+
+    def _tell(self, event: messages.Event) -> None:
+        with self.lock:
+            actions = self.lease.handle(event, self.node.clock.now_ms())
+        for action in actions:
+            match action:
+                case messages.ReadRow():
+                    ticker.submit(self.executor, self._read)
+                case messages.WriteRow():
+                    ticker.submit(self.executor, self._write, action)
+                case messages.Gained(epoch):
+                    ticker.submit(self.executor, self._gain, epoch)
+                case messages.Lost(epoch):
+                    self._end(epoch)
+
+    def _read(self) -> None:
+        match _read_row(
+            self.table, rows.LEASE_TABLE, self.region, rows.LeaseRecord
+        ):
+            case result.Ok((record, version)):
+                self._tell(messages.RowRead(record, version))
+            case _:
+                self._tell(messages.ReadFailed())
+
+    def _write(self, action: messages.WriteRow) -> None:
+        condition = base.Condition(
+            rows.LEASE_TABLE, self.region, action.row_version
+        )
+        value = rows.encode(action.record)
+        writes = [base.Write(rows.LEASE_TABLE, self.region, value)]
+        if action.takes_over:
+            writes += self._takeover_writes(action.record)
+        change = ids.ChangeId(ids.random_id())
+        match self.table.transact(change, [condition], writes):
+            case result.Ok(base.Versions(versions)):
+                version = versions[f'{rows.LEASE_TABLE}/{self.region}']
+                self._tell(messages.WriteCommitted(version))
+            case result.Err(exceptions.RowConflictError()):
+                self._tell(messages.WriteConflicted())
+            case _:
+                self._tell(messages.WriteFailed())
+
+    def _takeover_writes(
+        self, record: rows.LeaseRecord
+    ) -> collections.abc.Sequence[base.Write]:
+        at_ms = int(time.time() * clocks.MS_PER_SECOND)
+        audit = rows.AuditRecord(
+            at_ms,
+            rows.AuditKind.LEASE,
+            self.node.settings.vm,
+            (),
+            f'took over the lease of {self.region}, epoch {record.epoch}',
+        )
+        key = rows.audit_key(at_ms, f'lease-{self.region}-{record.epoch}')
+        epoch = rows.encode(rows.LeaseEpoch(record.epoch))
+        return [
+            base.Write(rows.LEASE_EPOCH_TABLE, self.region, epoch),
+            base.Write(rows.AUDIT_TABLE, key, rows.encode(audit)),
+        ]
+
+    def _gain(self, epoch: ids.FencingNumber) -> None:
+        # The version is taken only from a row that still names this
+        # epoch: a later one would let this VM write for its successor.
+        match _read_row(
+            self.table, rows.LEASE_EPOCH_TABLE, self.region, rows.LeaseEpoch
+        ):
+            case result.Ok((rows.LeaseEpoch(epoch=found), version)):
+                if found == epoch and self.may_act(epoch):
+                    self._begin(epoch, version)
+            case result.Err(_) if self.may_act(epoch):
+                time.sleep(RETRY_S)
+                ticker.submit(self.executor, self._gain, epoch)
+
+    def _begin(self, epoch: ids.FencingNumber, version: int) -> None:
+        condition = base.Condition(
+            rows.LEASE_EPOCH_TABLE, self.region, version
+        )
+        self.held = LeaseHeld(epoch, condition)
+        logs.event('lease_gained', region=self.region, epoch=epoch)
+        self.node.hub.publish(self.held)
+        if not self.may_act(epoch):
+            # It lapsed while it was being announced.
+            self._end(epoch)
+
+    def _end(self, epoch: ids.FencingNumber) -> None:
+        if self.held is None:
+            return
+        self.held = None
+        logs.event('lease_lost', region=self.region, epoch=epoch)
+        self.node.hub.publish(LeaseEnded(epoch))
+
+
+def _read_row(
+    table: base.Table, name: str, key: str, kind: type[rows.Record]
+) -> result.Result[tuple[rows.Record | None, int | None], Exception]:
+    match table.read_row(name, key):
+        case result.Ok(None):
+            return result.Ok((None, None))
+        case result.Ok(row):
+            return rows.decode(row.value, kind).map(
+                lambda record: (record, row.version)
+            )
+        case error:
+            return error
--- /dev/null
+++ b/eelgrassknot/coordination/membership_part.py
@@ -0,0 +1,331 @@
+"""Part of the daemon that keeps track of the other entry VMs."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import threading
+import time
+
+import result
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import digest
+from eelgrassknot.coordination import links
+from eelgrassknot.coordination import membership as memberships
+from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.coordination import ticker
+from eelgrassknot import exceptions
+from eelgrassknot import ids
+from eelgrassknot.kernel import node as kernel_node
+from eelgrassknot.kernel import parts
+from eelgrassknot import logs
+from eelgrassknot.platforms import base
+from eelgrassknot import states
+
+__all__ = ['EntryVmsChanged', 'MembershipPart', 'VmListRead']
+
+TICK_MS = 100.0
+LIST_POLL_MS = 2_000.0
+FAR_INTERVAL_MS = 2_000.0
+INTRODUCTION_MS = 10_000.0
+MIN_HEARTBEAT_MS = 250.0
+MAX_HEARTBEAT_MS = 1_000.0
+# Heartbeats become rarer as the zone grows, to hold the messages sent.
+MAX_HEARTBEATS_PER_S = 44.0
+# Bytes a second for all deltas of load, dispatches and demand together.
+DIGEST_BYTES_PER_S = 4_000.0
+MIN_DIGEST_BYTES = 64.0
+CONNECT_RETRY_S = 0.05
+
+PayloadSource = collections.abc.Callable[[float], digest.Payload]
+
+
+@dataclasses.dataclass(frozen=True)
+class VmListRead:
+    """The platform's list was read."""
+
+    entries: tuple[base.VmEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryVmsChanged:
+    """The live entry VMs of the zone, this one among them, changed.
+
+    Attributes:
+        members: Live VMs of the zone, in order of their names.
+        count: Entry VMs of the deployment that may be serving.
+    """
+
+    members: tuple[ids.VmId, ...]
+    count: int
+
+
+@parts.part('membership', after=('peers', 'config'))
+class MembershipPart(parts.Part):
+    """Sends heartbeats, hears them, and reads the platform's list.
+
+    Attributes:
+        membership: What is known of the peers; guarded by ``lock``.
+        payload: Returns the digest that goes with a heartbeat.
+        far_loads: Returns the sums that go to other zones.
+    """
+
+    def __init__(self, node: kernel_node.Node) -> None:
+        self.node = node
+        settings = node.settings
+        self.membership = memberships.Membership(
+            settings.vm, settings.availability_zone
+        )
+        self.lock = threading.Lock()
+        self.links = links.Links({}, {})
+        self.announced: EntryVmsChanged | None = None
+        self.payload: PayloadSource | None = None
+        self.far_loads: collections.abc.Callable[[], tuple] = tuple
+        self.next_heartbeat_ms = float('-inf')
+        self.next_far_ms = float('-inf')
+        self.next_list_ms = float('-inf')
+        self.next_introduction_ms = float('-inf')
+        self.introduce_to: set[str] = set()
+        self.executor = concurrent.futures.ThreadPoolExecutor(1, 'vm-list')
+        self.ticker = ticker.Ticker('membership', TICK_MS, self._tick)
+
+    def start(self) -> None:
+        """Begin to send and hear heartbeats."""
+        self.config = self.node.part_set.parts['config']
+        self.link = self.node.part_set.parts['peers'].link
+        self.link.on_message(messages.Heartbeat, self._heard)
+        self.link.on_message(messages.Introduction, self._introduced)
+        for address in self.node.settings.known_peers:
+            self.link.connect(address, address)
+            self.introduce_to.add(address)
+        self.ticker.start()
+
+    def drain(self) -> None:
+        """Tell the peers at once that this VM leaves."""
+        self._send_heartbeats(self.node.clock.now_ms())
+
+    def stop(self) -> None:
+        """Send no more."""
+        self.ticker.stop()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def status(self) -> dict[str, object]:
+        """Return the peers as this VM knows them."""
+        with self.lock:
+            peers = [
+                _peer_status(peer) for peer in self.membership.peers.values()
+            ]
+        return {'peers': peers}
+
+    def is_gone(
+        self, vm: ids.VmId, incarnation: ids.IncarnationId
+    ) -> bool | None:
+        """Return whether a VM's incarnation has ended, None if unknown."""
+        if vm == self.node.settings.vm:
+            return incarnation != self.node.incarnation
+        with self.lock:
+            return self.membership.is_gone(vm, incarnation)
+
+    def live_region_members(self) -> list[ids.VmId]:
+        """Return the VMs of this region that may be alive, in order."""
+        region = self.node.settings.region
+        possible = (memberships.PeerState.LIVE, memberships.PeerState.LISTED)
+        with self.lock:
+            names = [
+                peer.vm
+                for peer in self.membership.peers.values()
+                if peer.state in possible
+                and peer.place is not None
+                and peer.place.region == region
+            ]
+        return sorted([*names, self.node.settings.vm])
+
+    def ask(
+        self, vm: ids.VmId, query: object, timeout_ms: float
+    ) -> result.Result[object, exceptions.UpstreamError]:
+        """Ask any entry VM, connecting to it first if need be."""
+        until_ms = self.node.clock.now_ms() + timeout_ms
+        if not self._reach(vm, until_ms):
+            error = exceptions.UpstreamError(
+                f'{vm} cannot be reached', 'ask again later', False
+            )
+            return result.Err(error)
+        left_ms = until_ms - self.node.clock.now_ms()
+        return self.link.request(vm, query, max(1.0, left_ms))
+
+    def tell(
+        self, vm: ids.VmId, message: messages.Message, timeout_ms: float
+    ) -> bool:
+        """Send to any entry VM, connecting to it first if need be."""
+        until_ms = self.node.clock.now_ms() + timeout_ms
+        return self._reach(vm, until_ms) and self.link.send(vm, message)
+
+    def _reach(self, vm: ids.VmId, until_ms: float) -> bool:
+        with self.lock:
+            peer = self.membership.peers.get(vm)
+            place = peer.place if peer else None
+        if place is None:
+            return False
+        self.link.connect(vm, place.address)
+        while not self.link.send(vm, self._introduction(False)):
+            if self.node.clock.now_ms() > until_ms:
+                return False
+            time.sleep(CONNECT_RETRY_S)
+        return True
+
+    def _heard(self, envelope: messages.Envelope) -> None:
+        heartbeat = envelope.message
+        self._apply(
+            memberships.HeartbeatHeard(
+                envelope.vm,
+                envelope.incarnation,
+                envelope.started_ms,
+                envelope.sequence,
+                heartbeat.leaving,
+                frozenset(heartbeat.unheard),
+            )
+        )
+
+    def _introduced(self, envelope: messages.Envelope) -> None:
+        told = envelope.message
+        self._apply(
+            memberships.PeerAddress(
+                envelope.vm, told.address, told.availability_zone, told.region
+            )
+        )
+        if told.answer:
+            self.link.connect(envelope.vm, told.address)
+            self.introduce_to.add(envelope.vm)
+        if told.address in self.introduce_to:
+            # A known address has a name now.
+            self.introduce_to.discard(told.address)
+            self.link.disconnect(told.address)
+
+    def _apply(self, event: memberships.Event) -> None:
+        now_ms = self.node.clock.now_ms()
+        with self.lock:
+            before = _states(self.membership)
+            changed = self.membership.handle(event, now_ms)
+            after = _states(self.membership)
+        if changed or isinstance(event, memberships.ListRead):
+            self._changed(before, after)
+
+    def _changed(self, before: dict, after: dict) -> None:
+        for vm, state in after.items():
+            if before.get(vm) is not state:
+                logs.event('peer_state', peer=vm, state=state.value)
+            if state is memberships.PeerState.GONE:
+                self.config.peer_lost(vm)
+        with self.lock:
+            self.links = links.plan_links(self.membership)
+            members = tuple(self.membership.zone_members())
+            count = 1 + sum(_may_serve(s) for s in after.values())
+        wanted = {**self.links.zone, **self.links.far}
+        for vm, address in wanted.items():
+            if self.link.addresses.get(vm) != address:
+                self.link.connect(vm, address)
+                self.introduce_to.add(vm)
+        for vm in set(before) - set(after):
+            self.link.disconnect(vm)
+        announced = EntryVmsChanged(members, count)
+        if announced != self.announced:
+            self.announced = announced
+            self.node.hub.publish(announced)
+
+    def _tick(self) -> None:
+        now_ms = self.node.clock.now_ms()
+        self._apply(memberships.Tick())
+        if now_ms >= self.next_list_ms:
+            self.next_list_ms = now_ms + LIST_POLL_MS
+            ticker.submit(self.executor, self._read_list)
+        self._introduce(now_ms)
+        if now_ms >= self.next_heartbeat_ms:
+            self._send_heartbeats(now_ms)
+        if now_ms >= self.next_far_ms and self.links.far:
+            self.next_far_ms = now_ms + FAR_INTERVAL_MS
+            self.link.broadcast(self.links.far, self._far_heartbeat())
+
+    def _read_list(self) -> None:
+        match self.node.platform.vms.list_vms():
+            case result.Ok(entries):
+                self._apply(memberships.ListRead(tuple(entries)))
+                self.node.hub.publish(VmListRead(tuple(entries)))
+
+    def _introduction(self, answer: bool) -> messages.Introduction:
+        settings = self.node.settings
+        return messages.Introduction(
+            self.link.address,
+            settings.availability_zone,
+            settings.region,
+            answer,
+        )
+
+    def _introduce(self, now_ms: float) -> None:
+        if now_ms >= self.next_introduction_ms:
+            self.next_introduction_ms = now_ms + INTRODUCTION_MS
+            self.introduce_to.update(self.links.zone, self.links.far)
+        for name in list(self.introduce_to):
+            is_address = name == self.link.addresses.get(name)
+            if self.link.send(name, self._introduction(is_address)):
+                if not is_address:
+                    self.introduce_to.discard(name)
+
+    def _heartbeat_interval_ms(self) -> float:
+        peers = max(1, len(self.links.zone))
+        interval_ms = peers * clocks.MS_PER_SECOND / MAX_HEARTBEATS_PER_S
+        return min(MAX_HEARTBEAT_MS, max(MIN_HEARTBEAT_MS, interval_ms))
+
+    def _send_heartbeats(self, now_ms: float) -> None:
+        interval_ms = self._heartbeat_interval_ms()
+        self.next_heartbeat_ms = now_ms + interval_ms
+        if not self.links.zone:
+            return
+        share = DIGEST_BYTES_PER_S * interval_ms / clocks.MS_PER_SECOND
+        budget = max(MIN_DIGEST_BYTES, share / len(self.links.zone))
+        payload = self.payload(budget) if self.payload else _NOTHING
+        with self.lock:
+            unheard = tuple(self.membership.unheard())
+        heartbeat = messages.Heartbeat(
+            self.node.text_version,
+            self.node.state is states.DaemonState.DRAINING,
+            unheard,
+            payload.loads,
+            payload.held,
+            payload.demands,
+            payload.zones,
+            payload.cache,
+        )
+        self.link.broadcast(self.links.zone, heartbeat)
+
+    def _far_heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            self.node.text_version,
+            self.node.state is states.DaemonState.DRAINING,
+            zones=self.far_loads(),
+        )
+
+
+_NOTHING = digest.Payload((), (), (), (), ())
+
+
+def _states(membership: memberships.Membership) -> dict:
+    return {vm: peer.state for vm, peer in membership.peers.items()}
+
+
+def _may_serve(state: memberships.PeerState) -> bool:
+    return state in (
+        memberships.PeerState.LIVE,
+        memberships.PeerState.LISTED,
+        memberships.PeerState.SUSPECTED,
+    )
+
+
+def _peer_status(peer: memberships.Peer) -> dict[str, object]:
+    place = peer.place
+    return {
+        'vm': peer.vm,
+        'state': peer.state.value,
+        'incarnation': peer.incarnation,
+        'availability_zone': place.availability_zone if place else None,
+        'address': place.address if place else None,
+    }
--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -32,6 +32,8 @@
 RECONNECT_MS = 200
 MAX_RECONNECT_MS = 3_000
 POLL_MS = 100
+# Questions beyond this many give the oldest one up.
+MAX_WAITING = 1_024
 
 Handler = collections.abc.Callable[[messages.Envelope], None]
 QueryHandler = collections.abc.Callable[
@@ -93,7 +95,7 @@
         self.address = listen
         self.addresses: dict[str, str] = {}
         self.sockets: dict[str, zmq.Socket] = {}
-        self.handlers: dict[type, Handler] = {}
+        self.handlers: dict[type, list[Handler]] = {}
         self.queries: dict[type, QueryHandler] = {}
         self.waiting: dict[int, concurrent.futures.Future] = {}
         self.requests = 0
@@ -141,7 +143,7 @@
 
     def on_message(self, kind: type, handler: Handler) -> None:
         """Have a handler called with each message of a class."""
-        self.handlers[kind] = handler
+        self.handlers.setdefault(kind, []).append(handler)
 
     def on_query(self, kind: type, handler: QueryHandler) -> None:
         """Have a handler answer each question of a class."""
@@ -199,6 +201,9 @@
             self.requests += 1
             number = self.requests
             self.waiting[number] = future
+            unanswered = next(iter(self.waiting))
+        if len(self.waiting) > MAX_WAITING:
+            self.waiting[unanswered].cancel()
         future.add_done_callback(lambda _: self.waiting.pop(number, None))
         if not self.send(name, messages.Request(number, query)):
             future.cancel()
@@ -302,8 +307,7 @@
                 if future is not None and not future.done():
                     future.set_result(answer)
             case message:
-                handler = self.handlers.get(type(message))
-                if handler is not None:
+                for handler in self.handlers.get(type(message), ()):
                     handler(envelope)
 
 
--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -10,6 +10,7 @@
 from eelgrassknot import ids
 
 __all__ = [
+    'CacheEntry',
     'ConfigFetch',
     'ConfigReply',
     'DemandEntry',
@@ -32,7 +33,7 @@
     """Load of one upstream as its observer read it.
 
     Attributes:
-        upstream: 32-bit hash of the upstream's name.
+        upstream: 32-bit hash of the upstream's name and address.
         at_ms: Time on the upstream's own clock.
         reachable: Whether the observer could reach it.
         leaving: Whether the upstream said that it leaves.
@@ -70,7 +71,11 @@
 
 
 class ZoneLoad(msgspec.Struct, array_like=True, frozen=True):
-    """Load of one service in one zone, summed over its upstreams."""
+    """Load of one service in one zone, summed over its upstreams.
+
+    Attributes:
+        leaving: Hashes of the upstreams that said that they leave.
+    """
 
     availability_zone: ids.AvailabilityZoneId
     service: ids.ServiceName
@@ -80,6 +85,21 @@
     running: int
     waiting: int
     preemptions: int
+    leaving: tuple[int, ...] = ()
+
+
+class CacheEntry(msgspec.Struct, array_like=True, frozen=True):
+    """Prefixes that an engine stored or evicted, as its observer read.
+
+    Attributes:
+        upstream: 32-bit hash of the upstream's name and address.
+        stored: Prefix hashes of eight bytes each, one after another.
+        evicted: The same for those that are gone.
+    """
+
+    upstream: int
+    stored: bytes
+    evicted: bytes
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -100,6 +120,7 @@
     held: tuple[HeldEntry, ...] = ()
     demands: tuple[DemandEntry, ...] = ()
     zones: tuple[ZoneLoad, ...] = ()
+    cache: tuple[CacheEntry, ...] = ()
 
 
 class Introduction(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- /dev/null
+++ b/tests/coordination/silent_relay.py
@@ -0,0 +1,59 @@
+"""TCP relay that can lose track of the connections that it has."""
+
+import socket
+import threading
+
+__all__ = ['SilentRelay']
+
+CHUNK_BYTES = 65_536
+
+
+class SilentRelay:
+    """Passes bytes on; after ``silence`` the open connections pass none.
+
+    Connections that are opened afterwards work, and no connection is
+    closed, as when an intermediary has forgotten the old ones.
+    """
+
+    def __init__(self, target):
+        host, port = target.rsplit(':', 1)
+        self.target = (host, int(port))
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.address = '127.0.0.1:%d' % self.listener.getsockname()[1]
+        self.silenced = threading.Event()
+        self.sockets = []
+        self.accepted = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self):
+        """Pass nothing more over the connections that are open."""
+        self.silenced.set()
+        self.silenced = threading.Event()
+
+    def close(self):
+        """Close everything."""
+        for each in [self.listener, *self.sockets]:
+            each.close()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            far = socket.create_connection(self.target)
+            self.sockets += [near, far]
+            for ends in ((near, far), (far, near)):
+                threading.Thread(
+                    target=_pass, args=(*ends, self.silenced), daemon=True
+                ).start()
+
+
+def _pass(source, sink, silenced):
+    try:
+        while data := source.recv(CHUNK_BYTES):
+            if not silenced.is_set():
+                sink.sendall(data)
+    except OSError:
+        return
