--- a/eelgrassknot/coordination/digest.py
+++ b/eelgrassknot/coordination/digest.py
@@ -208,7 +208,28 @@
         zones = self.zones.take(left * ZONE_SHARE, now_ms)
         left -= len(zones) * ZONE_BYTES
         demands = self.demands.take(left, now_ms)
-        return Payload(tuple(loads), tuple(held), tuple(demands), tuple(zones))
+        left -= len(demands) * DEMAND_BYTES
+        return Payload(
+            tuple(loads),
+            tuple(held),
+            tuple(demands),
+            tuple(zones),
+            self._take_cache(left),
+        )
+
+    def cache_seen(self, entry: messages.CacheEntry) -> None:
+        """Take in cache events that this VM read as an observer."""
+        self.cache.append(entry)
+
+    def _take_cache(self, budget_bytes: float) -> tuple:
+        taken = []
+        while self.cache:
+            entry = self.cache[0]
+            budget_bytes -= len(entry.stored) + len(entry.evicted)
+            if budget_bytes < 0:
+                break
+            taken.append(self.cache.popleft())
+        return tuple(taken)
 
 
 def upstream_key(info: events.UpstreamInfo) -> int:
--- /dev/null
+++ b/tests/steps/coordination_digest.py
@@ -0,0 +1,263 @@
+"""Steps on digests, observers, reachability and links."""
+
+import behave
+
+from eelgrassknot.coordination import delta_queue
+from eelgrassknot.coordination import digest
+from eelgrassknot.coordination import links
+from eelgrassknot.coordination import membership
+from eelgrassknot.coordination import observation
+from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.coordination import reachability
+from eelgrassknot.coordination import rendezvous
+from eelgrassknot.kernel import events
+from eelgrassknot.platforms import base
+from eelgrassknot import states
+
+
+def info(name, address='127.0.0.1:1'):
+    return events.UpstreamInfo(
+        name,
+        'chat',
+        states.ServiceKind.ENGINE,
+        address,
+        'zone',
+        'region',
+        states.UpstreamState.LIVE,
+    )
+
+
+def load(key, at_ms, leaving=False):
+    return messages.LoadEntry(key, at_ms, 5, 10, 1, 2, 3, True, leaving)
+
+
+@behave.given('{vms:d} VMs and {count:d} upstreams of a zone')
+def given_vms(context, vms, count):
+    context.vms = [f'vm-{number}' for number in range(vms)]
+    context.names = [f'e-{number}' for number in range(count)]
+    context.before = observers(context)
+
+
+def observers(context):
+    return {
+        name: rendezvous.ranked(name, context.vms, observation.OBSERVERS)
+        for name in context.names
+    }
+
+
+@behave.then('each upstream is observed by two of them')
+def two_observers(context):
+    assert all(len(set(vms)) == 2 for vms in context.before.values())
+
+
+@behave.when('one of them dies')
+def one_dies(context):
+    context.dead = context.vms.pop(7)
+
+
+@behave.then('only its upstreams get another observer')
+def others_stay(context):
+    for name, vms in observers(context).items():
+        if context.dead not in context.before[name]:
+            assert vms == context.before[name], name
+
+
+@behave.given('an upstream whose observers are "first" and "second"')
+def given_observers(context):
+    order = rendezvous.ranked('e1', ['x', 'y'])
+    context.now_ms = 0.0
+    context.first, context.second = (
+        observation.Observation(vm) for vm in order
+    )
+    for each in (context.first, context.second):
+        each.assign(['e1'], ['x', 'y'], 0.0)
+
+
+@behave.then('only "first" polls it')
+def first_polls(context):
+    for _ in range(40):
+        context.now_ms += 250.0
+        assert context.first.due(context.now_ms) == ['e1']
+        context.first.answered('e1')
+        context.second.heard('e1', context.now_ms)
+        assert context.second.due(context.now_ms) == []
+
+
+@behave.when('"first" falls silent for {silent_ms:d} ms')
+def first_silent(context, silent_ms):
+    context.now_ms += silent_ms
+
+
+@behave.then('"second" polls it')
+def second_polls(context):
+    assert context.second.due(context.now_ms) == ['e1']
+
+
+@behave.given(
+    'a queue of {count:d} entries that all change before each exchange'
+)
+def given_queue(context, count):
+    context.queue = delta_queue.DeltaQueue(28, 1_000.0)
+    context.count = count
+
+
+@behave.then(
+    'each exchange of {budget:d} bytes takes {most:d}'
+    ' and each entry goes out in turn'
+)
+def exchanges_take(context, budget, most):
+    seen = set()
+    for step in range(context.count // most):
+        for key in range(context.count):
+            context.queue.offer(key, (key, step))
+        taken = context.queue.take(budget, step * 250.0)
+        assert len(taken) == most, taken
+        seen.update(key for key, _ in taken)
+    assert len(seen) == context.count, 'an entry has starved'
+
+
+@behave.given('a queue of 1 entries that was told')
+def given_told(context):
+    context.queue = delta_queue.DeltaQueue(28, 1_000.0)
+    context.queue.offer('a', 1)
+    assert context.queue.take(100, 0.0) == [1]
+
+
+@behave.then('it is told again after its refresh time and not before')
+def told_again(context):
+    context.queue.offer('a', 1)
+    assert context.queue.take(100, 999.0) == []
+    assert context.queue.take(100, 1_000.0) == [1]
+
+
+@behave.given(
+    'a digest that knows the load of "{name}" at 200 ms of its clock'
+)
+def given_digest(context, name):
+    context.info = info(name)
+    context.key = digest.upstream_key(context.info)
+    context.digest = digest.Digest('zone')
+    context.digest.know([context.info])
+    context.digest.observed(load(context.key, 200), 0.0)
+
+
+@behave.when('a peer\'s load of "{name}" at 100 ms arrives')
+@behave.when('a peer\'s load of the earlier "{name}" arrives')
+def late_load(context, name):
+    assert not context.digest.told(load(context.key, 100), 1.0)
+
+
+@behave.then('the load of "{name}" is still that of 200 ms')
+def still_newer(context, name):
+    assert context.digest.loads[context.key][0].at_ms == 200
+
+
+@behave.when('"{name}" gets another address')
+def other_address(context, name):
+    context.digest.know([info(name, '127.0.0.1:2')])
+
+
+@behave.then('no load of "{name}" is known')
+def no_load(context, name):
+    assert not context.digest.loads
+
+
+@behave.given('a digest with the demand of account "{account}"')
+def given_demand(context, account):
+    context.digest = digest.Digest('zone')
+    context.digest.announce({}, {account: 2.5})
+    told = context.digest.take(1_000, 0.0).demands
+    assert [d.milli_requests_per_second for d in told] == [2_500]
+
+
+@behave.when('its demand has ended')
+def demand_ended(context):
+    context.told = []
+    for step in range(1, 5):
+        context.digest.announce({}, {})
+        context.told += context.digest.take(1_000, step * 250.0).demands
+
+
+@behave.then('zero is told once and then nothing')
+def zero_told(context):
+    told = [entry.milli_requests_per_second for entry in context.told]
+    assert told == [0], told
+
+
+@behave.then(
+    'the sum of the zone for "{service}" counts 1 upstream and no leavers'
+)
+def zone_sum(context, service):
+    (total,) = context.digest.zone_loads(1.0)
+    assert (total.service, total.upstreams) == (service, 1), total
+    assert (total.kv_tokens_used, total.leaving) == (5, ()), total
+
+
+@behave.when('"{name}" says that it leaves')
+def says_it_leaves(context, name):
+    context.digest.observed(load(context.key, 300, leaving=True), 2.0)
+
+
+@behave.then('the sum of the zone for "{service}" names it as leaving')
+def names_leaver(context, service):
+    (total,) = context.digest.zone_loads(3.0)
+    assert total.leaving == (context.key,), total
+
+
+@behave.given('an upstream that "{vm}" cannot reach')
+def given_unreachable(context, vm):
+    context.reachability = reachability.Reachability()
+    told = [context.reachability.polled('e1', False) for _ in range(3)]
+    assert told == [True, True, False], told
+    context.reachable = context.reachability.heard('e1', vm, False, 0.0)
+
+
+@behave.then('it counts as unreachable')
+def is_unreachable(context):
+    assert not context.reachable
+
+
+@behave.when('"{vm}" says that it reaches it')
+def reaches(context, vm):
+    context.reachable = context.reachability.heard('e1', vm, True, 1.0)
+
+
+@behave.then('it counts as reachable')
+def is_reachable(context):
+    assert context.reachable
+    assert context.reachability.heard('e1', 'a', False, 2.0)
+
+
+@behave.given('a VM that knows {zones:d} zones of {size:d} entry VMs')
+def given_zones(context, zones, size):
+    context.entries = tuple(
+        base.VmEntry(
+            f'z{zone}-{number}',
+            '127.0.0.1',
+            zone * 100 + number,
+            f'z{zone}',
+            'r',
+            states.VmKind.ENTRY,
+            states.UpstreamState.LIVE,
+        )
+        for zone in range(zones)
+        for number in range(size)
+    )
+
+
+@behave.then(
+    'it is linked to its zone and, as a gateway alone, to {far:d} far VMs'
+)
+def links_are(context, far):
+    names = [e.vm for e in context.entries if e.availability_zone == 'z0']
+    counts = []
+    for vm in names:
+        known = membership.Membership(vm, 'z0')
+        known.handle(membership.ListRead(context.entries), 0.0)
+        for other in set(names) - {vm}:
+            heard = membership.HeartbeatHeard(other, other, 1, 1, False)
+            known.handle(heard, 0.0)
+        planned = links.plan_links(known)
+        assert sorted(planned.zone) == sorted(set(names) - {vm})
+        counts.append(len(planned.far))
+    assert sorted(counts) == [0, 0, far, far], counts
