--- /dev/null
+++ b/benchmarks/coordination/takeover.py
@@ -0,0 +1,253 @@
+"""Takeover of a lapsed lease: delays compared by writes and time.
+
+Drives the pure lease of many watchers against one row with simulated
+latencies. The holder dies; counted are the conditional writes that the
+watchers spend until one holds the lease, and the time that it takes.
+Compared are no delay, a random one, and one by rank, with ranks given
+anew to the survivors once the dead are detected.
+
+Run with ``python -m benchmarks.coordination.takeover --seed 1``.
+
+References:
+    Zhang and Jacobsen, "ESCAPE to Precaution against Leader Failures",
+    equation 1 for the delay by rank, section IV-B for the new ranks.
+"""
+
+import dataclasses
+import heapq
+import random
+import statistics
+import sys
+import typing
+
+import typer
+
+from eelgrassknot.coordination import lease as leases
+from eelgrassknot.coordination import lease_messages as messages
+
+__all__ = ['main', 'simulate']
+
+TICK_MS = 200.0
+WARM_UP_MS = 30_000.0
+MAX_TAKEOVER_MS = 60_000.0
+CONTENDERS = (3, 8, 44, 400)
+JITTER_MS = 2_000.0
+# Twice the time between a watcher's read and the commit of its write.
+RANK_STEP_MS = 250.0
+# A zone's failure detector has noticed the dead after this time.
+DETECTION_MS = 5_000.0
+# The platform bears several hundred writes a second.
+MAX_CONFLICTS_PER_TAKEOVER = 100.0
+
+
+class RandomDelay(leases.Lease):
+    """Waits a random time, drawn once for each row that it sees."""
+
+    def _takeover_ms(self) -> float:
+        generator = random.Random(f'{self.vm} {self.row_version}')
+        return super()._takeover_ms() + generator.uniform(0, JITTER_MS)
+
+
+class RankDelay(leases.Lease):
+    """Waits longer the later its rank."""
+
+    def _takeover_ms(self) -> float:
+        return super()._takeover_ms() + self.rank * RANK_STEP_MS
+
+
+DELAYS: dict[str, type[leases.Lease]] = {
+    'none': leases.Lease,
+    'random': RandomDelay,
+    'rank': RankDelay,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """Conditions of a takeover.
+
+    Attributes:
+        low_ms: Least time of a read or write, one way.
+        high_ms: Most time, one way.
+        dead_ranks: How many of the first ranks died with the holder.
+        loss: Share of answers that never come.
+    """
+
+    name: str
+    low_ms: float
+    high_ms: float
+    dead_ranks: float = 0.0
+    loss: float = 0.0
+
+
+SCENARIOS = (
+    Scenario('fast', 1.0, 10.0),
+    Scenario('slow', 50.0, 500.0),
+    Scenario('zone lost', 1.0, 10.0, dead_ranks=1 / 3),
+    Scenario('lossy', 1.0, 10.0, loss=0.1),
+)
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What one takeover cost."""
+
+    takeover_ms: float = MAX_TAKEOVER_MS
+    writes: int = 0
+    conflicts: int = 0
+
+
+class Simulation:
+    """One row and its watchers in simulated time."""
+
+    def __init__(
+        self, scenario: Scenario, contenders: int, name: str, seed: int
+    ) -> None:
+        self.scenario = scenario
+        self.generator = random.Random(f'{seed} {contenders} {name}')
+        self.contenders = contenders
+        self.queue: list = []
+        self.count = 0
+        self.record = None
+        self.version: int | None = None
+        self.dead: set[int] = set()
+        self.died_ms: float | None = None
+        self.outcome = Outcome()
+        self.ranks = list(range(contenders))
+        self.leases = [
+            DELAYS[name](f'vm{seed}-{n}', f'i{n}') for n in range(contenders)
+        ]
+
+    def run(self) -> Outcome:
+        """Return what the takeover cost after the holder has died."""
+        for index in range(self.contenders):
+            # The holder is the first; the others start after it.
+            at_ms = self.generator.uniform(0, TICK_MS) + (500 if index else 0)
+            self._at(at_ms, self._tick, index)
+        death_ms = WARM_UP_MS + self.generator.uniform(0, 4_000)
+        self._at(death_ms, self._die)
+        while self.queue:
+            now_ms, _, function, arguments = heapq.heappop(self.queue)
+            function(now_ms, *arguments)
+            if self.outcome.takeover_ms < MAX_TAKEOVER_MS:
+                break
+            if now_ms > death_ms + MAX_TAKEOVER_MS:
+                break
+        return self.outcome
+
+    def _at(self, at_ms: float, function, *arguments) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (at_ms, self.count, function, arguments))
+
+    def _die(self, now_ms: float) -> None:
+        holder = next(
+            (i for i, lease in enumerate(self.leases) if lease.epoch), None
+        )
+        if holder is None:
+            self._at(now_ms + TICK_MS, self._die)
+            return
+        self.died_ms = now_ms
+        self.dead.add(holder)
+        others = [i for i in range(self.contenders) if i != holder]
+        lost = int(len(others) * self.scenario.dead_ranks)
+        self.dead.update(others[:lost])
+        self._at(now_ms + DETECTION_MS, self._rank_anew)
+
+    def _rank_anew(self, now_ms: float) -> None:
+        alive = [i for i in range(self.contenders) if i not in self.dead]
+        for rank, index in enumerate(alive):
+            self.ranks[index] = rank
+
+    def _tick(self, now_ms: float, index: int) -> None:
+        if index in self.dead:
+            return
+        self._tell(now_ms, index, messages.Tick(self.ranks[index]))
+        self._at(now_ms + TICK_MS, self._tick, index)
+
+    def _tell(self, now_ms: float, index: int, event) -> None:
+        if index in self.dead:
+            return
+        for action in self.leases[index].handle(event, now_ms):
+            match action:
+                case messages.ReadRow() | messages.WriteRow():
+                    self._at(
+                        now_ms + self._latency(), self._serve, index, action
+                    )
+                case messages.Gained() if self.died_ms is not None:
+                    self.outcome.takeover_ms = now_ms - self.died_ms
+
+    def _serve(self, now_ms: float, index: int, action) -> None:
+        answer = self._perform(action)
+        if self.generator.random() < self.scenario.loss:
+            wrote = isinstance(action, messages.WriteRow)
+            failed = messages.WriteFailed if wrote else messages.ReadFailed
+            self._at(now_ms + 2_000, self._tell, index, failed())
+            return
+        self._at(now_ms + self._latency(), self._tell, index, answer)
+
+    def _perform(self, action):
+        if isinstance(action, messages.ReadRow):
+            return messages.RowRead(self.record, self.version)
+        counted = self.died_ms is not None
+        self.outcome.writes += counted
+        if action.row_version != self.version:
+            self.outcome.conflicts += counted
+            return messages.WriteConflicted()
+        self.record = action.record
+        self.version = (self.version or 0) + 1
+        return messages.WriteCommitted(self.version)
+
+    def _latency(self) -> float:
+        return self.generator.uniform(
+            self.scenario.low_ms, self.scenario.high_ms
+        )
+
+
+def simulate(
+    scenario: Scenario, contenders: int, name: str, trials: int, seed: int
+) -> list[Outcome]:
+    """Return the outcomes of some takeovers.
+
+    Args:
+        scenario: Conditions of the takeovers.
+        contenders: How many VMs watch the lease, the holder included.
+        name: Delay to use.
+        trials: How many takeovers.
+        seed: Seed of all random choices.
+    """
+    return [
+        Simulation(scenario, contenders, name, seed + trial).run()
+        for trial in range(trials)
+    ]
+
+
+def main(
+    seed: typing.Annotated[int, typer.Option()] = 1,
+    trials: typing.Annotated[int, typer.Option()] = 100,
+) -> None:
+    """Print conflicts and takeover time by stagger and contenders."""
+    print(f'seed {seed}, {trials} takeovers each')
+    print('scenario   contenders delay    conflicts/takeover  p50 s  max s')
+    conflicts: dict[str, float] = {name: 0.0 for name in DELAYS}
+    for scenario in SCENARIOS:
+        for contenders in CONTENDERS:
+            count = trials if contenders < 400 else max(1, trials // 5)
+            for name in DELAYS:
+                outcomes = simulate(scenario, contenders, name, count, seed)
+                mean = statistics.mean(o.conflicts for o in outcomes)
+                if DELAYS[name] is leases.Lease:
+                    worst = max(worst, mean)
+                times = sorted(o.takeover_ms / 1_000 for o in outcomes)
+                print(
+                    f'{scenario.name:10s} {contenders:10d} {name:8s}'
+                    f' {mean:18.2f} {statistics.median(times):6.1f}'
+                    f' {times[-1]:6.1f}',
+                    flush=True,
+                )
+    if worst > MAX_CONFLICTS_PER_TAKEOVER:
+        print(f'{worst} conflicting writes a takeover are too many')
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/eelgrassknot/coordination/lease.py
+++ b/eelgrassknot/coordination/lease.py
@@ -4,14 +4,14 @@
 fencing number of the holder's orders. No two clocks are compared: the
 holder counts its lease from before it sent the write that renewed it,
 and a watcher counts from when it first saw that write, on its own clock.
+A watcher reads the row again right before it takes over; as watchers
+poll at different times, that alone keeps most of them from writing.
 """
 
 import enum
-import random
 
 from eelgrassknot.coordination import lease_messages as messages
 from eelgrassknot.coordination import rows
-from eelgrassknot.coordination import stagger as staggers
 from eelgrassknot import ids
 
 __all__ = ['DURATION_MS', 'MARGIN_MS', 'Lease', 'LeaseState']
@@ -43,15 +43,13 @@
     Args:
         vm: This VM.
         incarnation: This run of the daemon.
-        stagger: How long to wait before taking over a lapsed lease.
-        generator: Source of random choices.
 
     Attributes:
         epoch: Epoch under which this VM holds the lease, or None.
         valid_until_ms: Until when it may give orders, on its clock.
 
     Example:
-        >>> lease = Lease('a', 'i', staggers.no_delay, random.Random(1))
+        >>> lease = Lease('a', 'i')
         >>> lease.handle(messages.Tick(), 0.0)
         [ReadRow()]
         >>> write = lease.handle(messages.RowRead(None, None), 1.0)[0]
@@ -61,24 +59,14 @@
         False
     """
 
-    def __init__(
-        self,
-        vm: ids.VmId,
-        incarnation: ids.IncarnationId,
-        stagger: staggers.Stagger,
-        generator: random.Random,
-    ) -> None:
+    def __init__(self, vm: ids.VmId, incarnation: ids.IncarnationId) -> None:
         self.vm = vm
         self.incarnation = incarnation
-        self.stagger = stagger
-        self.generator = generator
         self.state = LeaseState.WATCHING
         self.record: rows.LeaseRecord | None = None
         self.row_version: int | None = None
         self.seen_ms: float | None = None
-        self.delay_ms = 0.0
         self.rank = 0
-        self.contenders = 1
         self.next_read_ms = float('-inf')
         self.busy = False
         self.written: rows.LeaseRecord | None = None
@@ -104,9 +92,8 @@
         if not isinstance(event, messages.Tick | messages.Release):
             self.busy = False
         match event:
-            case messages.Tick(rank, contenders):
+            case messages.Tick(rank):
                 self.rank = rank
-                self.contenders = contenders
                 return actions + self._tick(now_ms)
             case messages.RowRead(record, row_version):
                 return actions + self._read(record, row_version, now_ms)
@@ -156,7 +143,7 @@
             return float('inf')
         released = self.record is None or self.record.holder is None
         duration_ms = 0.0 if released else DURATION_MS
-        return self.seen_ms + duration_ms + self.delay_ms
+        return self.seen_ms + duration_ms
 
     def _read(
         self,
@@ -175,9 +162,6 @@
         actions = self._lose()
         if changed:
             self.seen_ms = now_ms
-            self.delay_ms = self.stagger(
-                self.rank, self.contenders, self.generator
-            )
         if self.state is LeaseState.STOPPED or now_ms < self._takeover_ms():
             return actions
         return actions + self._take_over(now_ms)
--- a/eelgrassknot/coordination/lease_part.py
+++ b/eelgrassknot/coordination/lease_part.py
@@ -3,7 +3,6 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
-import random
 import threading
 import time
 
@@ -14,7 +13,6 @@
 from eelgrassknot.coordination import lease_messages as messages
 from eelgrassknot.coordination import rendezvous
 from eelgrassknot.coordination import rows
-from eelgrassknot.coordination import stagger
 from eelgrassknot.coordination import ticker
 from eelgrassknot import exceptions
 from eelgrassknot import ids
@@ -27,7 +25,6 @@
 
 TICK_MS = 200.0
 RETRY_S = 0.3
-STAGGER = 'rank'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,12 +56,7 @@
         self.node = node
         self.region = node.settings.region
         self.table = node.platform.table
-        self.lease = leases.Lease(
-            node.settings.vm,
-            node.incarnation,
-            stagger.STAGGERS.lookup(STAGGER),
-            random.Random(node.generator.random()),
-        )
+        self.lease = leases.Lease(node.settings.vm, node.incarnation)
         self.held: LeaseHeld | None = None
         self.lock = threading.Lock()
         self.executor = concurrent.futures.ThreadPoolExecutor(1, 'lease')
@@ -107,7 +99,7 @@
         members = self.membership.live_region_members()
         ranked = rendezvous.ranked(self.region, members)
         rank = ranked.index(self.node.settings.vm)
-        self._tell(messages.Tick(rank, len(ranked)))
+        self._tell(messages.Tick(rank))
 
     def _tell(self, event: messages.Event) -> None:
         with self.lock:
