--- a/eelgrassknot/coordination/digest_part.py
+++ b/eelgrassknot/coordination/digest_part.py
@@ -62,8 +62,16 @@
     def payload(self, budget_bytes: float) -> digests.Payload:
         """Return what goes out with the next heartbeat."""
         now_ms = self.node.clock.now_ms()
+        self._announce(now_ms)
+        with self.lock:
+            return self.digest.take(budget_bytes, now_ms)
+
+    def _announce(self, now_ms: float) -> None:
+        announce = getattr(self.dispatch.dispatcher, 'announcement', None)
+        if announce is None:
+            return
         with self.dispatch.lock:
-            announcement = self.dispatch.dispatcher.announcement(now_ms)
+            announcement = announce(now_ms)
         held = {
             share.upstream: (share.running, share.expected_tokens)
             for share in announcement.upstreams
@@ -74,7 +82,6 @@
         }
         with self.lock:
             self.digest.announce(held, demands)
-            return self.digest.take(budget_bytes, now_ms)
 
     def far_loads(self) -> tuple[messages.ZoneLoad, ...]:
         """Return the sums of this zone for other zones."""
@@ -259,7 +266,8 @@
                     self.dispatch.tell(
                         policy_messages.DigestReceived(vm, info.upstream, 0, 0)
                     )
-        self.dispatch.tell(policy_messages.EntryVmsKnown(event.count))
+        if hasattr(policy_messages, 'EntryVmsKnown'):
+            self.dispatch.tell(policy_messages.EntryVmsKnown(event.count))
 
 
 def _average(
--- /dev/null
+++ b/tests/coordination/deployment.py
@@ -0,0 +1,204 @@
+"""Starts a small deployment as processes and ends all of them."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from eelgrassknot.coordination import config_store
+from eelgrassknot import http_client
+from eelgrassknot.platforms import http as http_platform
+
+__all__ = ['Deployment', 'document', 'wait_for']
+
+LIMIT_S = 60.0
+END_LIMIT_S = 20.0
+POLL_S = 0.05
+SECRET = 'a secret of at least thirty-two bytes, for tests'
+
+
+def wait_for(condition, limit_s=LIMIT_S):
+    """Return the first true answer of a condition."""
+    until = time.monotonic() + limit_s
+    while time.monotonic() < until:
+        answer = condition()
+        if answer:
+            return answer
+        time.sleep(POLL_S)
+    raise AssertionError('the condition did not come about')
+
+
+def document(note='d'):
+    """Return a small services text; the note tells texts apart."""
+    text = {
+        'deployment': note,
+        'regions': [{'region': 'r', 'availability_zones': ['z0', 'z1', 'z2']}],
+        'services': [],
+        'client_accounts': [],
+    }
+    return json.dumps(text)
+
+
+def free_ports(count):
+    """Return ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return [each.getsockname()[1] for each in sockets]
+
+
+class Daemon:
+    """One daemon's process and where it listens."""
+
+    def __init__(self, vm, zone, settings):
+        self.vm = vm
+        self.zone = zone
+        self.settings = settings
+        self.process = None
+        self.log = None
+
+    def status(self):
+        """Return its status document, or None while it does not answer."""
+        url = f'http://{self.settings["listen"]["operators"]}/status'
+        answer = http_client.request('GET', url, timeout_ms=2_000)
+        return json.loads(answer.ok_value.body) if answer.is_ok() else None
+
+    def version(self):
+        """Return the version in force there, or -1 if it is not known."""
+        status = self.status()
+        return status['config_version'] if status else -1
+
+    def is_ready(self):
+        """Return whether it says that it is ready."""
+        url = f'http://{self.settings["listen"]["operators"]}/readyz'
+        answer = http_client.request('GET', url, timeout_ms=2_000)
+        return answer.is_ok() and answer.ok_value.status == 200
+
+    def signal(self, number):
+        """Send its process a signal."""
+        self.process.send_signal(number)
+
+
+class Deployment:
+    """A platform and daemons on loopback."""
+
+    def __init__(self):
+        self.directory = tempfile.TemporaryDirectory()
+        self.path = pathlib.Path(self.directory.name)
+        self.processes = []
+        self.daemons = {}
+        self.url = 'http://' + self.start_listening('standins.platform')
+        self.platform = http_platform.create(self.url)
+
+    def start_listening(self, module, *arguments):
+        """Start a stand-in and return the address that it prints."""
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        return process.stdout.readline().split()[1]
+
+    def add(self, vm, zone='z0', url=None, known_peers=()):
+        """Prepare a daemon; it is not started yet."""
+        ports = free_ports(3)
+        names = ('callers', 'operators', 'peers')
+        listen = {
+            name: f'127.0.0.1:{port}'
+            for name, port in zip(names, ports, strict=True)
+        }
+        settings = {
+            'vm': vm,
+            'availability_zone': zone,
+            'region': 'r',
+            'listen': listen,
+            'platform': {'plugin': 'http', 'url': url or self.url},
+            'known_peers': list(known_peers),
+            'cursor_keys': [{'id': 'k', 'secret': SECRET}],
+            'peer_keys': [{'id': 'p', 'secret': SECRET}],
+        }
+        self.daemons[vm] = Daemon(vm, zone, settings)
+        return self.daemons[vm]
+
+    def start(self, *vms):
+        """Start the processes of daemons."""
+        for vm in vms:
+            daemon = self.daemons[vm]
+            path = self.path / f'{vm}.json'
+            path.write_text(json.dumps(daemon.settings))
+            with (self.path / f'{vm}.log').open('ab') as log:
+                daemon.process = subprocess.Popen(
+                    [
+                        sys.executable,
+                        '-m',
+                        'eelgrassknot.daemon',
+                        '--settings',
+                        str(path),
+                    ],
+                    stderr=log,
+                )
+            self.processes.append(daemon.process)
+
+    def log(self, vm):
+        """Return what a daemon has logged."""
+        return (self.path / f'{vm}.log').read_text()
+
+    def list_vms(self, *vms, others=()):
+        """Have the platform list these daemons and other entries."""
+        entries = []
+        for vm in vms:
+            daemon = self.daemons[vm]
+            host, port = daemon.settings['listen']['peers'].split(':')
+            entries.append(
+                {
+                    'vm': vm,
+                    'address': host,
+                    'port': int(port),
+                    'availability_zone': daemon.zone,
+                    'region': 'r',
+                    'kind': 'entry',
+                    'service': None,
+                    'state': 'live',
+                }
+            )
+        self.control('PUT', '/control/vms', {'vms': [*entries, *others]})
+
+    def control(self, method, path, body):
+        """Tell the platform's stand-in something."""
+        answer = http_client.request(
+            method, self.url + path, json.dumps(body).encode()
+        )
+        assert answer.ok_value.status == 200, answer
+
+    def accept(self, note, change=None):
+        """Accept a text; return its version."""
+        answer = config_store.accept(
+            self.platform.table, document(note), 'ana', change or note
+        )
+        return answer.ok_value.version
+
+    def close(self):
+        """End all processes."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        until = time.monotonic() + END_LIMIT_S
+        for process in self.processes:
+            try:
+                process.wait(max(0.1, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                os.kill(process.pid, signal.SIGKILL)
+                process.wait()
+            if process.stdout:
+                process.stdout.close()
+        self.directory.cleanup()
