--- a/eelgrassknot/cli/main.py
+++ b/eelgrassknot/cli/main.py
@@ -7,9 +7,9 @@
 import result
 import typer
 
+from eelgrassknot.coordination import config_store
 from eelgrassknot import exceptions
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
 from eelgrassknot.platforms import http
 from eelgrassknot.settings import text as services_text
 
@@ -41,26 +41,10 @@
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
     table = http.create(context.obj).table
-    match table.read_row('config', 'current'):
-        case result.Ok(row):
-            version = row.value['version'] if row else 0
-            before = row.version if row else None
-        case result.Err(error):
-            typer.echo(str(error), err=True)
-            raise typer.Exit(3)
-    value = {
-        'version': version + 1,
-        'document': document,
-        'author': getpass.getuser(),
-    }
-    answer = table.transact(
-        ids.ChangeId(ids.random_id()),
-        [base.Condition('config', 'current', before)],
-        [base.Write('config', 'current', value)],
-    )
-    match answer:
-        case result.Ok(_):
-            typer.echo(f'accepted version {version + 1}')
+    change = ids.ChangeId(ids.random_id())
+    match config_store.accept(table, document, getpass.getuser(), change):
+        case result.Ok(accepted):
+            typer.echo(f'accepted version {accepted.version}')
         case result.Err(error):
             typer.echo(str(error), err=True)
             raise typer.Exit(3)
--- a/eelgrassknot/coordination/order_planner.py
+++ b/eelgrassknot/coordination/order_planner.py
@@ -56,6 +56,11 @@
                 self._know(upstreams)
             case messages.StateRead(upstream, state):
                 self.held[upstream] = state
+            case messages.StateUnknown(upstream):
+                self.held.pop(upstream, None)
+            case messages.RolloutUnkept(service):
+                # The next round keeps it again.
+                self.saved.pop(service, None)
             case messages.IntentWritten(upstream):
                 return self._send(upstream)
             case messages.IntentLost(upstream):
--- a/eelgrassknot/coordination/orders.py
+++ b/eelgrassknot/coordination/orders.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     'HeldState',
+    'Loading',
     'Order',
     'OrderKind',
     'OrderRequest',
@@ -62,11 +63,19 @@
     role: str | None = None
 
 
+class Loading(msgspec.Struct, frozen=True):
+    """What an engine is loading; fields of the order that asked for it."""
+
+    model: str
+    version: str | None = None
+    adapter: str | None = None
+
+
 class HeldState(msgspec.Struct, frozen=True):
     """What an engine says that it holds and is loading."""
 
     models: tuple[messages.HeldModel, ...] = ()
-    loading: tuple[messages.HeldModel, ...] = ()
+    loading: tuple[Loading, ...] = ()
     role: str | None = None
 
     def held(self, model: str) -> messages.HeldModel | None:
--- a/tests/coordination/fleet.py
+++ b/tests/coordination/fleet.py
@@ -125,7 +125,7 @@
         version = self.version[name]
         held = [upstream_messages.HeldModel(MODEL, version)] if version else []
         loading = [
-            upstream_messages.HeldModel(MODEL, version)
+            orders.Loading(MODEL, version)
             for loading, (_, version) in self.loading.items()
             if loading == name
         ]
