--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,66 @@
+"""TCP proxy that injects faults, as a process with a control endpoint."""
+
+import threading
+
+import msgspec
+import typer
+from werkzeug import wrappers
+
+from standins import proxy_loop
+from standins import serving
+
+__all__ = ['FaultProxy', 'main']
+
+
+class FaultProxy:
+    """Control endpoint of a proxy loop.
+
+    ``POST /links`` opens listeners, ``POST /faults`` changes the faults of
+    the links whose names begin with a prefix, ``POST /groups`` limits the
+    rate that links share, and ``GET /links`` counts bytes.
+    """
+
+    def __init__(self) -> None:
+        self.loop = proxy_loop.ProxyLoop()
+        self.application = serving.Application()
+        self.application.add('POST', '/links', self.open_links)
+        self.application.add('GET', '/links', self.get_links)
+        self.application.add('POST', '/faults', self.set_faults)
+        self.application.add('POST', '/groups', self.set_groups)
+
+    def open_links(self, request: wrappers.Request) -> wrappers.Response:
+        """Open listeners; the answer names the address of each."""
+        wanted = msgspec.json.decode(
+            request.get_data(), type=list[proxy_loop.LinkOrder]
+        )
+        opened = self.loop.call(lambda: self.loop.open_links(wanted))
+        return serving.json_answer(opened)
+
+    def get_links(self, request: wrappers.Request) -> wrappers.Response:
+        """Return the bytes and connections that each link carried."""
+        return serving.json_answer(self.loop.call(self.loop.summary))
+
+    def set_faults(self, request: wrappers.Request) -> wrappers.Response:
+        """Change the faults of links; fields left out stay."""
+        order = msgspec.json.decode(
+            request.get_data(), type=proxy_loop.FaultOrder
+        )
+        touched = self.loop.call(lambda: self.loop.set_faults(order))
+        return serving.json_answer({'links': touched})
+
+    def set_groups(self, request: wrappers.Request) -> wrappers.Response:
+        """Set the shared rate of each named group, in bits a second."""
+        rates = msgspec.json.decode(request.get_data(), type=dict[str, float])
+        self.loop.call(lambda: self.loop.set_rates(rates))
+        return serving.json_answer({})
+
+
+def main(listen: str = '127.0.0.1:0') -> None:
+    """Serve the proxy's control endpoint and its links until SIGTERM."""
+    proxy = FaultProxy()
+    threading.Thread(target=proxy.loop.run, daemon=True).start()
+    serving.serve(proxy.application, listen)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,10 @@
 """Stand-in of the platform: table, objects and the list of VMs."""
 
+import collections.abc
 import random
 import threading
 import time
+import typing
 
 import msgspec
 import typer
@@ -13,10 +15,11 @@
 from standins import serving
 from standins import table
 
-__all__ = ['Control', 'Platform', 'main']
+__all__ = ['Control', 'Platform', 'VmLists', 'main']
 
 MAX_BLACK_HOLE_S = 600.0
 BLACK_HOLE_POLL_S = 0.05
+VIEWS = '/views/'
 
 
 class Control(msgspec.Struct):
@@ -39,6 +42,17 @@
     vm_list_lag_ms: float = 0.0
 
 
+class VmLists(msgspec.Struct):
+    """The list of VMs, and what differs for those who see a view.
+
+    A daemon whose platform URL ends in ``/views/NAME`` gets that view's
+    list, so that a harness can put a proxy before each upstream.
+    """
+
+    vms: list[dict]
+    views: dict[str, list[dict]] = {}
+
+
 class Platform:
     """Table, objects and VM list behind one HTTP application.
 
@@ -52,7 +66,7 @@
         self.generator = random.Random(seed)
         self.table = table.Table()
         self.objects: dict[str, bytes] = {}
-        self.vm_lists: list[tuple[float, list]] = []
+        self.vm_lists: list[tuple[float, VmLists]] = []
         self.counters = counters.Counters()
         self.lock = threading.Lock()
         self.application = serving.Application()
@@ -179,20 +193,33 @@
     def get_vms(self, request: wrappers.Request) -> wrappers.Response:
         """Return the list of VMs as it was some time ago."""
         visible_ms = self.clock.now_ms() - self.control.vm_list_lag_ms
+        view = request.root_path.removeprefix(VIEWS)
         with self.lock:
-            vms = self.vm_lists[0][1] if self.vm_lists else []
+            lists = self.vm_lists[0][1] if self.vm_lists else VmLists([])
             for at_ms, listed in self.vm_lists:
                 if at_ms <= visible_ms:
-                    vms = listed
+                    lists = listed
+        vms = lists.views.get(view, lists.vms)
         return serving.json_answer({'vms': vms})
 
     def set_vms(self, request: wrappers.Request) -> wrappers.Response:
         """Replace the list of VMs; the body is like that of GET /vms."""
-        vms = serving.read_json(request)['vms']
+        lists = msgspec.json.decode(request.get_data(), type=VmLists)
         with self.lock:
-            self.vm_lists.append((self.clock.now_ms(), vms))
+            self.vm_lists.append((self.clock.now_ms(), lists))
         return serving.json_answer({})
 
+    def wsgi(
+        self, environ: dict, start_response: typing.Callable
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one request, with or without a view in its path."""
+        path = environ['PATH_INFO']
+        if path.startswith(VIEWS):
+            view, _, rest = path.removeprefix(VIEWS).partition('/')
+            environ['SCRIPT_NAME'] = f'{VIEWS}{view}'
+            environ['PATH_INFO'] = f'/{rest}'
+        return self.application(environ, start_response)
+
     def get_control(self, request: wrappers.Request) -> wrappers.Response:
         """Return the faults that are set."""
         return serving.json_answer(self.control)
@@ -210,7 +237,7 @@
 
 def main(listen: str = '127.0.0.1:0', seed: int = 0) -> None:
     """Serve the platform's stand-in until SIGTERM."""
-    serving.serve(Platform(seed).application, listen)
+    serving.serve(Platform(seed).wsgi, listen)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/standins/proxy_flow.py
@@ -0,0 +1,127 @@
+"""Connections of the fault-injecting proxy and the rate they share."""
+
+import collections
+import collections.abc
+import functools
+import socket
+
+__all__ = ['Flow', 'Pair', 'Rate']
+
+BITS_PER_BYTE = 8
+
+
+class Rate:
+    """Rate that several connections share, for each direction apart.
+
+    Args:
+        bits_per_second: The rate; 0 for no limit.
+
+    Example:
+        >>> Rate(8_000.0).departure_s(True, 10.0, 1_000)
+        11.0
+    """
+
+    def __init__(self, bits_per_second: float) -> None:
+        self.bits_per_second = bits_per_second
+        self.free_s = {True: 0.0, False: 0.0}
+
+    def departure_s(
+        self, towards_server: bool, now_s: float, size: int
+    ) -> float:
+        """Return when the last of some bytes has left."""
+        if not self.bits_per_second:
+            return now_s
+        begin_s = max(now_s, self.free_s[towards_server])
+        end_s = begin_s + size * BITS_PER_BYTE / self.bits_per_second
+        self.free_s[towards_server] = end_s
+        return end_s
+
+
+class Flow:
+    """One direction of a connection.
+
+    Attributes:
+        ready: Data to write now; an empty item is the end of the data.
+        queued_bytes: Data that was read and is not yet written.
+    """
+
+    def __init__(
+        self,
+        pair: 'Pair',
+        source: socket.socket,
+        sink: socket.socket,
+        towards_server: bool,
+    ) -> None:
+        self.pair = pair
+        self.source = source
+        self.sink = sink
+        self.towards_server = towards_server
+        self.ready: collections.deque = collections.deque()
+        self.queued_bytes = 0
+        self.last_due_s = 0.0
+        self.ended = False
+        self.finished = False
+        self.registered_mask = 0
+
+    def callback(
+        self, function: collections.abc.Callable
+    ) -> collections.abc.Callable:
+        """Return what the selector calls for this flow's source."""
+        return functools.partial(function, self)
+
+    def write(self) -> None:
+        """Write as much as the sink takes."""
+        while self.ready:
+            data = self.ready[0]
+            if not data:
+                self._end()
+                return
+            try:
+                sent = self.sink.send(data)
+            except (BlockingIOError, InterruptedError):
+                return
+            self.queued_bytes -= sent
+            if sent < len(data):
+                self.ready[0] = data[sent:]
+                return
+            self.ready.popleft()
+
+    def _end(self) -> None:
+        self.ready.clear()
+        self.finished = True
+        self.sink.shutdown(socket.SHUT_WR)
+
+
+class Pair:
+    """A caller's connection and the one to the target.
+
+    Attributes:
+        silent: Whether its bytes are lost from now on.
+    """
+
+    def __init__(
+        self, link: object, client: socket.socket, server: socket.socket
+    ) -> None:
+        self.link = link
+        self.silent = False
+        self.closed = False
+        self.client = client
+        self.flows = (
+            Flow(self, client, server, True),
+            Flow(self, server, client, False),
+        )
+
+    def twin(self, flow: Flow) -> Flow:
+        """Return the flow of the other direction."""
+        return self.flows[1] if flow is self.flows[0] else self.flows[0]
+
+    def is_over(self) -> bool:
+        """Return whether both directions have ended."""
+        return all(flow.finished for flow in self.flows)
+
+    def shut_callers_side(self) -> None:
+        """End the direction towards the caller alone."""
+        try:
+            self.client.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
--- /dev/null
+++ b/standins/proxy_loop.py
@@ -0,0 +1,310 @@
+"""Event loop of the fault-injecting proxy: one thread, many sockets."""
+
+import collections.abc
+import concurrent.futures
+import heapq
+import itertools
+import queue
+import selectors
+import socket
+import struct
+import time
+
+import msgspec
+
+from standins import proxy_flow
+
+__all__ = ['FaultOrder', 'Link', 'LinkOrder', 'ProxyLoop']
+
+IDLE_S = 0.02
+ACCEPT_BACKLOG = 512
+CHUNK_BYTES = 65_536
+MAX_QUEUED_BYTES = 262_144
+RESET_LINGER = struct.pack('ii', 1, 0)
+HOST = '127.0.0.1'
+
+
+class LinkOrder(msgspec.Struct):
+    """A listener to open.
+
+    Attributes:
+        group: Links of one group share a rate; empty for no limit.
+    """
+
+    name: str
+    target: str
+    group: str = ''
+    delay_ms: float = 0.0
+
+
+class FaultOrder(msgspec.Struct):
+    """Faults to set on the links whose names contain a text.
+
+    Attributes:
+        links: Parts of names; a link is meant if it contains one.
+        refuse: Whether new connections are refused.
+        black_hole: ``none``, ``old`` (connections open now fall silent
+            for good) or ``all`` (new ones too).
+        reset: Whether to reset the open connections now.
+        half_close: Whether to end the direction towards callers now,
+            while the other one stays open.
+        delay_ms: New one-way delay.
+    """
+
+    links: list[str]
+    refuse: bool | None = None
+    black_hole: str | None = None
+    reset: bool = False
+    half_close: bool = False
+    delay_ms: float | None = None
+
+
+class Link:
+    """One listener with its target and its faults."""
+
+    def __init__(self, order: LinkOrder) -> None:
+        host, _, port = order.target.rpartition(':')
+        self.name = order.name
+        self.target = (host, int(port))
+        self.group = order.group
+        self.delay_ms = order.delay_ms
+        self.black_hole_new = False
+        self.listener: socket.socket | None = None
+        self.port = 0
+        self.pairs: set[proxy_flow.Pair] = set()
+        self.accepted = 0
+        self.bytes = 0
+
+
+class ProxyLoop:
+    """Accepts, forwards, delays, throttles and loses bytes.
+
+    All methods but ``call`` belong to the thread that runs ``run``.
+    """
+
+    def __init__(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.links: dict[str, Link] = {}
+        self.commands: queue.SimpleQueue = queue.SimpleQueue()
+        self.rates: dict[str, proxy_flow.Rate] = {}
+        self.deliveries: list[tuple] = []
+        self.numbers = itertools.count()
+
+    def call(self, function: collections.abc.Callable) -> object:
+        """Run a function in the loop's thread and return its value."""
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        self.commands.put((function, future))
+        return future.result()
+
+    def run(self) -> None:
+        """Run for as long as the process lives."""
+        # A selector without any socket cannot wait everywhere.
+        spare, other = socket.socketpair()
+        self.selector.register(spare, selectors.EVENT_READ, None)
+        while True:
+            for key, mask in self.selector.select(self._wait_s()):
+                if key.data is not None:
+                    key.data(mask)
+            self._deliver()
+            self._obey()
+        other.close()
+
+    def _wait_s(self) -> float:
+        if not self.deliveries:
+            return IDLE_S
+        until_s = self.deliveries[0][0] - time.monotonic()
+        return min(IDLE_S, max(0.0, until_s))
+
+    def _obey(self) -> None:
+        while not self.commands.empty():
+            function, future = self.commands.get()
+            try:
+                future.set_result(function())
+            except Exception as error:
+                future.set_exception(error)
+
+    def open_links(self, orders: list[LinkOrder]) -> dict[str, str]:
+        """Open listeners and return their addresses by name."""
+        for order in orders:
+            link = Link(order)
+            self.links[link.name] = link
+            self._listen(link)
+        return {o.name: f'{HOST}:{self.links[o.name].port}' for o in orders}
+
+    def set_rates(self, rates: dict[str, float]) -> None:
+        """Limit groups to a rate in bits a second; 0 lifts the limit."""
+        for group, bits in rates.items():
+            self.rates[group] = proxy_flow.Rate(bits)
+
+    def summary(self) -> dict[str, dict[str, int]]:
+        """Return what each link carried."""
+        return {
+            link.name: {
+                'bytes': link.bytes,
+                'accepted': link.accepted,
+                'open': len(link.pairs),
+            }
+            for link in self.links.values()
+        }
+
+    def set_faults(self, order: FaultOrder) -> list[str]:
+        """Change the faults of links and return their names."""
+        touched = [
+            link
+            for link in self.links.values()
+            if any(part in link.name for part in order.links)
+        ]
+        for link in touched:
+            self._set_faults(link, order)
+        return [link.name for link in touched]
+
+    def _set_faults(self, link: Link, order: FaultOrder) -> None:
+        if order.delay_ms is not None:
+            link.delay_ms = order.delay_ms
+        if order.black_hole is not None:
+            link.black_hole_new = order.black_hole == 'all'
+            if order.black_hole != 'none':
+                for pair in link.pairs:
+                    pair.silent = True
+        if order.reset:
+            for pair in list(link.pairs):
+                self._close(pair, reset=True)
+        if order.half_close:
+            for pair in link.pairs:
+                pair.shut_callers_side()
+        if order.refuse is True and link.listener is not None:
+            self.selector.unregister(link.listener)
+            link.listener.close()
+            link.listener = None
+        if order.refuse is False and link.listener is None:
+            self._listen(link)
+
+    def _listen(self, link: Link) -> None:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((HOST, link.port))
+        listener.listen(ACCEPT_BACKLOG)
+        listener.setblocking(False)
+        link.port = listener.getsockname()[1]
+        link.listener = listener
+        self.selector.register(
+            listener, selectors.EVENT_READ, lambda _: self._accept(link)
+        )
+
+    def _accept(self, link: Link) -> None:
+        try:
+            client, _ = link.listener.accept()
+        except OSError:
+            return
+        link.accepted += 1
+        server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        pair = proxy_flow.Pair(link, client, server)
+        pair.silent = link.black_hole_new
+        link.pairs.add(pair)
+        for end in (client, server):
+            end.setblocking(False)
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        server.connect_ex(link.target)
+        for flow in pair.flows:
+            self._watch(flow)
+
+    def _watch(self, flow: proxy_flow.Flow) -> None:
+        """Read from a flow's source, write what its twin has ready."""
+        if flow.pair.closed:
+            return
+        twin = flow.pair.twin(flow)
+        mask = 0
+        if not flow.ended and flow.queued_bytes < MAX_QUEUED_BYTES:
+            mask |= selectors.EVENT_READ
+        if twin.ready:
+            mask |= selectors.EVENT_WRITE
+        registered = flow.registered_mask
+        if mask == registered:
+            return
+        if registered and mask:
+            self.selector.modify(flow.source, mask, flow.callback(self._io))
+        elif mask:
+            self.selector.register(flow.source, mask, flow.callback(self._io))
+        else:
+            self.selector.unregister(flow.source)
+        flow.registered_mask = mask
+
+    def _io(self, flow: proxy_flow.Flow, mask: int) -> None:
+        if mask & selectors.EVENT_WRITE and not flow.pair.closed:
+            self._write(flow.pair.twin(flow))
+        if mask & selectors.EVENT_READ and not flow.pair.closed:
+            self._read(flow)
+
+    def _read(self, flow: proxy_flow.Flow) -> None:
+        pair = flow.pair
+        try:
+            data = flow.source.recv(CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            if pair.silent:
+                flow.ended = True
+                self._watch(flow)
+            else:
+                self._close(pair, reset=True)
+            return
+        if not data:
+            flow.ended = True
+        if not pair.silent:
+            self._schedule(flow, data)
+        self._watch(flow)
+
+    def _schedule(self, flow: proxy_flow.Flow, data: bytes) -> None:
+        link = flow.pair.link
+        link.bytes += len(data)
+        now_s = time.monotonic()
+        sent_s = now_s
+        rate = self.rates.get(link.group)
+        if rate is not None:
+            sent_s = rate.departure_s(flow.towards_server, now_s, len(data))
+        # Bytes of one direction may not overtake each other.
+        due_s = max(flow.last_due_s, sent_s + link.delay_ms / 1000)
+        flow.last_due_s = due_s
+        flow.queued_bytes += len(data)
+        if due_s <= now_s:
+            self._make_ready(flow, data)
+            return
+        number = next(self.numbers)
+        heapq.heappush(self.deliveries, (due_s, number, flow, data))
+
+    def _deliver(self) -> None:
+        now_s = time.monotonic()
+        while self.deliveries and self.deliveries[0][0] <= now_s:
+            _, _, flow, data = heapq.heappop(self.deliveries)
+            if not flow.pair.closed and not flow.pair.silent:
+                self._make_ready(flow, data)
+
+    def _make_ready(self, flow: proxy_flow.Flow, data: bytes) -> None:
+        flow.ready.append(data)
+        self._write(flow)
+
+    def _write(self, flow: proxy_flow.Flow) -> None:
+        try:
+            flow.write()
+        except OSError:
+            self._close(flow.pair, reset=True)
+            return
+        if flow.pair.is_over():
+            self._close(flow.pair, reset=False)
+            return
+        for each in flow.pair.flows:
+            self._watch(each)
+
+    def _close(self, pair: proxy_flow.Pair, reset: bool) -> None:
+        if pair.closed:
+            return
+        pair.closed = True
+        pair.link.pairs.discard(pair)
+        for flow in pair.flows:
+            if flow.registered_mask:
+                self.selector.unregister(flow.source)
+            if reset:
+                flow.source.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
+                )
+            flow.source.close()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -137,11 +137,11 @@
     return wrappers.Response(b'')
 
 
-def serve(application: Application, listen: str) -> None:
+def serve(application: typing.Callable, listen: str) -> None:
     """Serve until SIGTERM; print the address once it is bound.
 
     Args:
-        application: Answers the requests.
+        application: WSGI application that answers the requests.
         listen: ``IP:port``; port 0 lets the system choose.
     """
     host, _, port = listen.rpartition(':')
