--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,451 @@
+"""A whole deployment on loopback: stand-ins, proxy and daemons."""
+
+import concurrent.futures
+import dataclasses
+import pathlib
+import random
+import signal
+import socket
+
+import msgspec
+
+from eelgrassknot.settings import examples
+from eelgrassknot.settings import vm as vm_settings
+from eelgrassknot import states
+from standins import processes
+
+__all__ = ['Cluster', 'Shape', 'Upstream', 'shape_of']
+
+HOST = '127.0.0.1'
+DAEMON_MODULE = 'eelgrassknot.daemon'
+LINK_GROUP = 'region-link'
+PLATFORM = 'platform'
+CALLERS = 'callers'
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+
+_PORTS = random.SystemRandom()
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """What a cluster consists of.
+
+    Attributes:
+        entry_vms: Number of daemons by availability zone.
+        engines: Number of engines by availability zone.
+        plains: Number of plain services by availability zone.
+        zone_delay_ms: One-way delay between zones of a region.
+        region_delay_ms: One-way delay between regions.
+        link_bits_per_second: Rate of the link between regions.
+        kv_tokens: Memory of each engine.
+        step_ms: Time of an engine's decode step.
+        daemon_module: Module that is run as the daemon; tests name a
+            broken variant here.
+    """
+
+    deployment: examples.Deployment
+    entry_vms: dict[str, int]
+    engines: dict[str, int]
+    plains: dict[str, int]
+    zone_delay_ms: float = 1.5
+    region_delay_ms: float = 30.0
+    link_bits_per_second: float = 15_000_000.0
+    kv_tokens: int = 6_000
+    step_ms: float = 15.0
+    daemon_module: str = DAEMON_MODULE
+    text_changes: dict[str, object] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class Upstream:
+    """An engine or a plain service of the cluster."""
+
+    vm: str
+    kind: states.VmKind
+    service: str
+    availability_zone: str
+    child: processes.Child
+    state: str = 'live'
+
+
+def shape_of(name: str, daemon_module: str = DAEMON_MODULE) -> Shape:
+    """Return the shape of a deployment at the brief's sizes.
+
+    Args:
+        name: Name of an example deployment.
+        daemon_module: Module that is run as the daemon.
+    """
+    deployment = examples.DEPLOYMENTS.lookup(name)
+    zones = [group.availability_zone for group in deployment.entry_vms]
+    engine_counts = (2, 2, 1) if name == 'nadroga' else (2, 2, 2)
+    delays = {'nadroga': 1.5, 'lagotermica': 0.5}
+    return Shape(
+        deployment,
+        {g.availability_zone: g.count for g in deployment.entry_vms},
+        dict(zip(zones, engine_counts, strict=True)),
+        dict.fromkeys(zones, 1),
+        zone_delay_ms=delays[name],
+        daemon_module=daemon_module,
+    )
+
+
+class Cluster:
+    """Starts, harms and ends the processes of a deployment.
+
+    Every connection between zones, to the platform, to the upstreams and
+    from the callers goes through the proxy. A link is named
+    ``FROM>TO>VM`` after the zone that connects, the zone of the target
+    and the target.
+
+    Args:
+        shape: What to start.
+        directory: Where logs and settings are kept.
+        seed: Seed of the stand-ins.
+
+    Example:
+        >>> with Cluster(shape_of('nadroga'), directory, 1) as cluster:
+        ...     cluster.wait_ready()
+    """
+
+    def __init__(
+        self, shape: Shape, directory: pathlib.Path, seed: int
+    ) -> None:
+        self.shape = shape
+        self.directory = directory
+        self.seed = seed
+        self.children: list[processes.Child] = []
+        self.daemons: dict[str, processes.Child] = {}
+        self.settings: dict[str, vm_settings.VmSettings] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.links: dict[str, str] = {}
+        self.regions: dict[str, str] = {}
+        self.account_keys: dict[str, str] = {}
+        self.platform: processes.Child | None = None
+        self.proxy: processes.Child | None = None
+        self.text: dict = {}
+        directory.mkdir(parents=True, exist_ok=True)
+
+    def __enter__(self) -> 'Cluster':
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def start(self) -> None:
+        """Start everything and put the first text in force."""
+        self._start_standins()
+        example = examples.create(self.shape.deployment, 'http://x', HOST, 1)
+        self.account_keys = dict(example.account_keys)
+        self._plan_entry_vms(example)
+        self._open_links()
+        self.publish_vms()
+        self.text = {
+            **msgspec.to_builtins(example.text),
+            **self.shape.text_changes,
+        }
+        self.accept_text()
+        for vm in self.settings:
+            self.start_daemon(vm)
+
+    def close(self) -> None:
+        """End all processes."""
+        for child in self.children:
+            child.end()
+
+    def _start_standins(self) -> None:
+        self.platform = self._start(PLATFORM, ['standins.platform'])
+        self.proxy = self._start('proxy', ['standins.fault_proxy'])
+        kinds = (
+            (states.VmKind.ENGINE, self.shape.engines),
+            (states.VmKind.PLAIN, self.shape.plains),
+        )
+        for kind, counts in kinds:
+            for zone, count in counts.items():
+                for number in range(1, count + 1):
+                    self._start_upstream(kind, zone, number)
+        for child in self.children:
+            processes.wait_listening(child)
+
+    def _start(self, name: str, arguments: list[str]) -> processes.Child:
+        child = processes.start_standin(
+            name,
+            [*arguments, '--listen', f'{HOST}:0'],
+            self.directory,
+        )
+        self.children.append(child)
+        return child
+
+    def _start_upstream(
+        self, kind: states.VmKind, zone: str, number: int
+    ) -> None:
+        vm = f'{zone}-{kind.value}-{number}'
+        service = next(
+            s
+            for s in self.shape.deployment.services
+            if s.kind.value == kind.value
+        )
+        arguments = [f'standins.{kind.value}', '--seed', str(self.seed)]
+        if kind is states.VmKind.ENGINE:
+            arguments += self._engine_arguments(service)
+        child = self._start(vm, arguments)
+        self.upstreams[vm] = Upstream(vm, kind, service.service, zone, child)
+
+    def _engine_arguments(self, service: object) -> list[str]:
+        arguments = [
+            '--kv-tokens',
+            str(self.shape.kv_tokens),
+            '--step-ms',
+            str(self.shape.step_ms),
+            '--model',
+            service.model.model,
+            '--version',
+            service.model.version,
+        ]
+        for adapter in service.model.adapters:
+            arguments += ['--adapter', adapter]
+        if not service.engines_check_fencing:
+            arguments.append('--no-check-fencing')
+        return arguments
+
+    def _plan_entry_vms(self, example: examples.Example) -> None:
+        for region in example.text.regions:
+            for zone in region.availability_zones:
+                self.regions[zone] = region.region
+        wanted = dict(self.shape.entry_vms)
+        for settings in example.settings:
+            zone = settings.availability_zone
+            if wanted.get(zone, 0) > 0:
+                wanted[zone] -= 1
+                self._plan_entry_vm(settings)
+
+    def _plan_entry_vm(self, settings: vm_settings.VmSettings) -> None:
+        ports = free_ports(3)
+        listen = vm_settings.Listen(*(f'{HOST}:{port}' for port in ports))
+        self.settings[settings.vm] = msgspec.structs.replace(
+            settings, listen=listen
+        )
+
+    def _open_links(self) -> None:
+        orders = []
+        for zone in self.regions:
+            platform_zone = next(iter(self.regions))
+            orders.append(
+                self._link(zone, platform_zone, PLATFORM, self.platform)
+            )
+            for upstream in self.upstreams.values():
+                orders.append(
+                    self._link(
+                        zone,
+                        upstream.availability_zone,
+                        upstream.vm,
+                        upstream.child,
+                    )
+                )
+        for vm, settings in self.settings.items():
+            orders += self._entry_links(vm, settings)
+        self.links = processes.ask_json(
+            self.proxy.address, 'POST', '/links', orders
+        )
+        rates = {LINK_GROUP: self.shape.link_bits_per_second}
+        processes.ask(self.proxy.address, 'POST', '/groups', rates)
+
+    def _entry_links(
+        self, vm: str, settings: vm_settings.VmSettings
+    ) -> list[dict]:
+        target_zone = settings.availability_zone
+        orders = [
+            {
+                'name': f'{CALLERS}>{target_zone}>{vm}',
+                'target': settings.listen.callers,
+                'delay_ms': 0.0,
+            }
+        ]
+        for zone in self.regions:
+            order = self._link(zone, target_zone, vm, None)
+            order['target'] = settings.listen.peers
+            orders.append(order)
+        return orders
+
+    def _link(
+        self,
+        zone: str,
+        target_zone: str,
+        vm: str,
+        child: processes.Child | None,
+    ) -> dict:
+        crosses = self.regions[zone] != self.regions[target_zone]
+        near_ms = 0.0 if zone == target_zone else self.shape.zone_delay_ms
+        return {
+            'name': f'{zone}>{target_zone}>{vm}',
+            'target': child.address if child else '',
+            'group': LINK_GROUP if crosses else '',
+            'delay_ms': self.shape.region_delay_ms if crosses else near_ms,
+        }
+
+    def link(self, zone: str, vm: str) -> str:
+        """Return the address by which a zone reaches a VM."""
+        for name, address in self.links.items():
+            start, _, target = name.split('>')
+            if start == zone and target == vm:
+                return address
+        raise KeyError(f'{zone} has no link to {vm}')
+
+    def publish_vms(self) -> None:
+        """Tell the platform which VMs live, as each zone reaches them."""
+        views = {zone: self._view(zone) for zone in self.regions}
+        lists = {'vms': views[next(iter(views))], 'views': views}
+        processes.ask(self.platform.address, 'PUT', '/control/vms', lists)
+
+    def _view(self, zone: str) -> list[dict]:
+        entries = [
+            self._entry(zone, vm, s.availability_zone, 'entry', None, 'live')
+            for vm, s in self.settings.items()
+        ]
+        entries += [
+            self._entry(
+                zone,
+                u.vm,
+                u.availability_zone,
+                u.kind.value,
+                u.service,
+                u.state,
+            )
+            for u in self.upstreams.values()
+            if u.state != 'gone'
+        ]
+        return entries
+
+    def _entry(
+        self,
+        zone: str,
+        vm: str,
+        target_zone: str,
+        kind: str,
+        service: str | None,
+        state: str,
+    ) -> dict:
+        host, _, port = self.link(zone, vm).rpartition(':')
+        return {
+            'vm': vm,
+            'address': host,
+            'port': int(port),
+            'availability_zone': target_zone,
+            'region': self.regions[target_zone],
+            'kind': kind,
+            'service': service,
+            'state': state,
+        }
+
+    def accept_text(self) -> int:
+        """Put the present text in force by the command line.
+
+        Returns:
+            The exit code of the command.
+        """
+        path = self.directory / 'text.json'
+        path.write_bytes(msgspec.json.encode(self.text))
+        child = processes.Child(
+            'accept',
+            [
+                'eelgrassknot.cli.main',
+                '--platform',
+                f'http://{self.platform.address}',
+                'config',
+                'accept',
+                str(path),
+            ],
+            self.directory / 'accept.log',
+        )
+        self.children.append(child)
+        return child.process.wait(processes.START_TIMEOUT_S)
+
+    def start_daemon(self, vm: str) -> None:
+        """Start the daemon of an entry VM, or start it anew."""
+        settings = self.settings[vm]
+        zone = settings.availability_zone
+        peers = tuple(
+            self.link(zone, other) for other in self.settings if other != vm
+        )
+        address = self.link(zone, PLATFORM)
+        started = msgspec.structs.replace(
+            settings,
+            known_peers=peers,
+            platform=vm_settings.PlatformSettings(
+                f'http://{address}/views/{zone}'
+            ),
+        )
+        path = self.directory / f'{vm}.json'
+        path.write_bytes(msgspec.json.encode(started))
+        child = processes.Child(
+            vm,
+            [self.shape.daemon_module, '--settings', str(path)],
+            self.directory / f'{vm}.log',
+        )
+        child.address = settings.listen.callers
+        self.children.append(child)
+        self.daemons[vm] = child
+
+    def wait_ready(self, vms: list[str] | None = None) -> None:
+        """Wait until daemons say that they are ready and know upstreams."""
+        names = list(self.settings) if vms is None else vms
+        with concurrent.futures.ThreadPoolExecutor(len(names)) as pool:
+            for _ in pool.map(self._wait_ready, names):
+                pass
+
+    def _wait_ready(self, vm: str) -> None:
+        def ready() -> bool:
+            if not self.daemons[vm].alive:
+                log = self.daemons[vm].log
+                raise RuntimeError(f'{vm} ended; see {log}')
+            return self.is_ready(vm)
+
+        processes.wait_until(ready, f'{vm} is ready')
+
+    def is_ready(self, vm: str) -> bool:
+        """Return whether a daemon says that it is ready."""
+        operators = self.settings[vm].listen.operators
+        status, _ = processes.ask(operators, 'GET', '/readyz', None, 2.0)
+        return status == 200
+
+    def status(self, vm: str) -> dict:
+        """Return the status document of a daemon; empty if none came."""
+        operators = self.settings[vm].listen.operators
+        return processes.ask_json(operators, 'GET', '/status')
+
+    def control(self, child: processes.Child, changes: dict) -> None:
+        """Tell a stand-in what to suffer from."""
+        processes.ask(child.address, 'POST', '/control', changes)
+
+    def fault(self, links: list[str], **faults: object) -> None:
+        """Set faults on links of the proxy."""
+        order = {'links': links, **faults}
+        processes.ask(self.proxy.address, 'POST', '/faults', order)
+
+    def kill(self, vm: str) -> None:
+        """Kill a daemon."""
+        self.daemons[vm].end()
+
+    def terminate(self, vm: str) -> None:
+        """Ask a daemon to drain and end."""
+        self.daemons[vm].signal(signal.SIGTERM)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that no process has bound.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections, which could take them before a daemon does.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _PORTS.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            if probe.connect_ex((HOST, port)) != 0 and port not in ports:
+                ports.append(port)
+    return ports
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,133 @@
+"""Child processes of a test harness and short HTTP questions to them."""
+
+import http.client
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import msgspec
+
+__all__ = ['Child', 'ask', 'start_standin', 'wait_until']
+
+START_TIMEOUT_S = 30.0
+ASK_TIMEOUT_S = 10.0
+POLL_S = 0.05
+END_TIMEOUT_S = 5.0
+
+
+class Child:
+    """A process that a harness started and will end.
+
+    Attributes:
+        address: ``IP:port`` on which it listens.
+        log: File of its output.
+    """
+
+    def __init__(
+        self, name: str, arguments: list[str], log: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.log = log
+        self.address = ''
+        with log.open('ab') as output:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process has not ended yet."""
+        return self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it has not ended."""
+        if self.alive:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        """End the process by force, also when it is stopped."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(END_TIMEOUT_S)
+
+
+def start_standin(
+    name: str, arguments: list[str], directory: pathlib.Path
+) -> Child:
+    """Start a stand-in that prints the address on which it listens."""
+    return Child(name, arguments, directory / f'{name}.log')
+
+
+def wait_listening(child: Child) -> str:
+    """Return the address of a stand-in once it has printed it.
+
+    Raises:
+        RuntimeError: If it ended or did not listen in time.
+    """
+
+    def printed() -> str:
+        if not child.alive:
+            raise RuntimeError(f'{child.name} ended; see {child.log}')
+        for line in child.log.read_text(encoding='utf-8').splitlines():
+            if line.startswith('listening '):
+                return line.split()[1]
+        return ''
+
+    child.address = wait_until(printed, f'{child.name} listens')
+    return child.address
+
+
+def wait_until(
+    condition, what: str, timeout_s: float = START_TIMEOUT_S
+) -> object:
+    """Return the condition's value as soon as it is true.
+
+    Raises:
+        RuntimeError: If it does not become true in time.
+    """
+    until_s = time.monotonic() + timeout_s
+    while time.monotonic() < until_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise RuntimeError(f'not in {timeout_s:g} s: {what}')
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    value: object = None,
+    timeout_s: float = ASK_TIMEOUT_S,
+) -> tuple[int, bytes]:
+    """Send one request with a JSON body.
+
+    Returns:
+        The status and the body; status 0 if there was no answer.
+    """
+    body = None if value is None else msgspec.json.encode(value)
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    except (OSError, http.client.HTTPException):
+        return 0, b''
+    finally:
+        connection.close()
+
+
+def ask_json(
+    address: str, method: str, path: str, value: object = None
+) -> dict:
+    """Send one request and return the JSON answer; empty if none came."""
+    status, body = ask(address, method, path, value)
+    if status == 0 or status >= http.client.BAD_REQUEST:
+        return {}
+    return msgspec.json.decode(body or b'{}')
