--- /dev/null
+++ b/standins/recorder.py
@@ -0,0 +1,137 @@
+"""Gathers what upstreams, daemons and faults did during a round."""
+
+import collections
+import threading
+
+from eelgrassknot import clock as clocks
+from eelgrassknot import states
+from standins import cluster as clusters
+from standins import history as histories
+from standins import processes
+
+__all__ = ['Recorder']
+
+STATUS_POLL_S = 0.5
+FOREVER_MS = float('inf')
+
+
+class Recorder:
+    """Fills the parts of a history that callers cannot see.
+
+    Args:
+        cluster: The processes to ask.
+
+    Attributes:
+        draining: VMs that were told to drain and have not been replaced.
+        events: What the round did, with times in milliseconds.
+        drains: Begin and end of each drain, by VM.
+    """
+
+    def __init__(self, cluster: clusters.Cluster) -> None:
+        self.cluster = cluster
+        self.clock = clocks.MonotonicClock()
+        self.history = histories.History()
+        self.events: list[tuple[float, str]] = []
+        self.draining: set[str] = set()
+        self.drains: dict[str, list[float]] = collections.defaultdict(list)
+        self.gathered: set[str] = set()
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self._poll, daemon=True)
+
+    def start(self) -> None:
+        """Begin to ask the daemons for their status."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Ask everyone for the last time and end."""
+        self.stopped.set()
+        self.thread.join()
+        self.poll_configs()
+        for upstream in self.cluster.upstreams.values():
+            if upstream.vm not in self.gathered and upstream.child.alive:
+                self.gather(upstream)
+
+    def note(self, what: str) -> None:
+        """Record something that the round did."""
+        self.events.append((self.clock.now_ms(), what))
+
+    def leaving(self, vm: str) -> None:
+        """Record that an upstream gets no new work from now on."""
+        self.history.leaving.append(
+            histories.Leaving(vm, self.clock.now_ms(), 1e15)
+        )
+
+    def drain_begins(self, vm: str) -> None:
+        """Record that a daemon is told to drain."""
+        self.draining.add(vm)
+        self.drains[vm] = [self.clock.now_ms()]
+
+    def drain_ended(self, vm: str, code: int) -> None:
+        """Record the end of a daemon that was told to drain."""
+        self.drains[vm].append(self.clock.now_ms())
+        self.history.drained[vm] = code
+
+    def drain_forgotten(self, vm: str) -> None:
+        """Record that a daemon was started anew."""
+        self.draining.discard(vm)
+
+    def accepted(self, version: int) -> None:
+        """Record that a version of the text was accepted."""
+        self.history.accepted[str(version)] = self.clock.now_ms()
+
+    def gather(self, upstream: clusters.Upstream) -> None:
+        """Fetch the history of an upstream."""
+        self.gathered.add(upstream.vm)
+        told = processes.ask_json(
+            upstream.child.address, 'GET', '/control/history'
+        )
+        if upstream.kind is states.VmKind.ENGINE:
+            self._gather_engine(upstream.vm, told)
+        else:
+            self._gather_plain(upstream.vm, told)
+
+    def _gather_engine(self, vm: str, told: dict) -> None:
+        for each in told.get('generations', []):
+            self.history.generations.append(
+                histories.EngineGeneration(
+                    vm,
+                    each['generation'],
+                    each['request_id'],
+                    each['at_ms'],
+                    each['produced'],
+                    each['state'],
+                )
+            )
+
+    def _gather_plain(self, vm: str, told: dict) -> None:
+        for each in told.get('executions', []):
+            self.history.executions.append(
+                histories.Execution(
+                    vm,
+                    each['request_id'],
+                    each['key'],
+                    each['method'],
+                    each['at_ms'],
+                )
+            )
+
+    def poll_configs(self) -> None:
+        """Ask every daemon which version it has in force."""
+        for vm, child in list(self.cluster.daemons.items()):
+            if not child.alive or vm in self.draining:
+                continue
+            asked_ms = self.clock.now_ms()
+            status = self.cluster.status(vm)
+            if status.get('state') == 'ready':
+                self.history.configs.append(
+                    histories.ConfigSeen(
+                        vm,
+                        status['incarnation'],
+                        status['config_version'],
+                        asked_ms,
+                    )
+                )
+
+    def _poll(self) -> None:
+        while not self.stopped.wait(STATUS_POLL_S):
+            self.poll_configs()
--- /dev/null
+++ b/standins/rounds.py
@@ -0,0 +1,269 @@
+"""One seeded round: a cluster, callers, one or two faults, the checks."""
+
+import collections
+import dataclasses
+import pathlib
+import random
+import shutil
+import time
+
+import msgspec
+
+from standins import callers as load
+from standins import checkers
+from standins import cluster as clusters
+from standins import faults
+from standins import history as histories
+from standins import recorder
+
+__all__ = ['Round', 'Verdict', 'run_round']
+
+STREAM_CALLERS = 14
+PLAIN_CALLERS = 8
+WARM_UP_S = 1.5
+SECOND_FAULT_S = 2.0
+MIN_HOLD_S = 2.0
+MAX_HOLD_S = 4.5
+RECOVERY_S = 2.5
+PATHS = {
+    'nadroga': ('/availability', '/bookings'),
+    'lagotermica': ('/stock', '/confirmations'),
+}
+BALANCER_POLL_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """What came of a round."""
+
+    seed: int
+    deployment: str
+    faults: tuple[str, ...]
+    streams: collections.Counter
+    calls: collections.Counter
+    violations: tuple[checkers.Violation, ...]
+    seconds: float
+    trace: pathlib.Path
+
+    def __str__(self) -> str:
+        word = 'violated' if self.violations else 'held'
+        return (
+            f'round seed={self.seed} deployment={self.deployment}'
+            f' faults={"+".join(self.faults)}'
+            f' streams={_counts(self.streams)} calls={_counts(self.calls)}'
+            f' seconds={self.seconds:.0f} violations='
+            f'{len(self.violations)} verdict={word}'
+        )
+
+
+class Round:
+    """Draws a round from its seed and runs it.
+
+    Args:
+        seed: Decides the deployment, the faults and the load.
+        directory: Where the trace is kept if something is violated.
+        names: Faults to use in place of drawn ones.
+        daemon_module: Module that is run as the daemon.
+        deployment: Deployment to use in place of a drawn one.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        directory: pathlib.Path,
+        names: tuple[str, ...] = (),
+        daemon_module: str = clusters.DAEMON_MODULE,
+        deployment: str = '',
+    ) -> None:
+        self.seed = seed
+        self.directory = directory / f'round-{seed}'
+        self.generator = random.Random(seed)
+        drawn = self.generator.choice(sorted(PATHS))
+        self.deployment = deployment or drawn
+        count = self.generator.choice((1, 2))
+        drawn_names = self.generator.sample(sorted(faults.FAULTS), count)
+        self.names = tuple(names or drawn_names)
+        self.shape = clusters.shape_of(self.deployment, daemon_module)
+
+    def run(self) -> Verdict:
+        """Run the round and check its history."""
+        began_s = time.monotonic()
+        shutil.rmtree(self.directory, ignore_errors=True)
+        with clusters.Cluster(
+            self.shape, self.directory, self.seed
+        ) as cluster:
+            cluster.wait_ready()
+            history, log = self._load_and_harm(cluster)
+        violations = tuple(checkers.check(history))
+        if violations:
+            self._keep(history, log, violations)
+        else:
+            shutil.rmtree(self.directory, ignore_errors=True)
+        return Verdict(
+            self.seed,
+            self.deployment,
+            self.names,
+            collections.Counter(s.outcome for s in history.streams),
+            collections.Counter(c.outcome for c in history.calls),
+            violations,
+            time.monotonic() - began_s,
+            self.directory,
+        )
+
+    def _load_and_harm(
+        self, cluster: clusters.Cluster
+    ) -> tuple[histories.History, recorder.Recorder]:
+        log = recorder.Recorder(cluster)
+        callers = load.Callers(
+            self._mix(cluster), self._entry_points(cluster), self.seed
+        )
+        log.start()
+        callers.start(STREAM_CALLERS, PLAIN_CALLERS)
+        self._pause(cluster, callers, WARM_UP_S)
+        self._change_text(cluster, log)
+        heals = self._harm(cluster, callers, log)
+        self._pause(
+            cluster,
+            callers,
+            self.generator.uniform(MIN_HOLD_S, MAX_HOLD_S),
+        )
+        for name, heal in heals:
+            log.note(f'heal {name}')
+            heal()
+        self._pause(cluster, callers, RECOVERY_S)
+        callers.stop()
+        self._await_text(cluster, log)
+        log.stop()
+        history = log.history
+        history.streams = callers.streams
+        history.calls = callers.calls
+        history.cut_by_drain = self._cut_by_drain(history, log)
+        return history, log
+
+    def _mix(self, cluster: clusters.Cluster) -> load.Mix:
+        services = {
+            s.kind.value: s.service for s in self.shape.deployment.services
+        }
+        lookup, booking = PATHS[self.deployment]
+        return load.Mix(
+            services['engine'],
+            services['plain'],
+            lookup,
+            booking,
+            tuple(cluster.account_keys.values()),
+        )
+
+    def _entry_points(
+        self, cluster: clusters.Cluster
+    ) -> list[load.EntryPoint]:
+        return [
+            load.EntryPoint(vm, cluster.link(clusters.CALLERS, vm))
+            for vm, child in cluster.daemons.items()
+            if child.alive and cluster.is_ready(vm)
+        ]
+
+    def _pause(
+        self,
+        cluster: clusters.Cluster,
+        callers: load.Callers,
+        seconds: float,
+    ) -> None:
+        """Wait, and have the balancer follow who is ready."""
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            ready = self._entry_points(cluster)
+            if ready:
+                callers.set_entry_points(ready)
+            time.sleep(BALANCER_POLL_S)
+
+    def _change_text(
+        self, cluster: clusters.Cluster, log: recorder.Recorder
+    ) -> None:
+        cluster.text['client_accounts'][0]['weight'] += 1.0
+        if cluster.accept_text() == 0:
+            log.accepted(2)
+
+    def _harm(
+        self,
+        cluster: clusters.Cluster,
+        callers: load.Callers,
+        log: recorder.Recorder,
+    ) -> list[tuple[str, faults.Heal]]:
+        heals = []
+        for number, name in enumerate(self.names):
+            if number:
+                pause_s = self.generator.uniform(0.0, SECOND_FAULT_S)
+                self._pause(cluster, callers, pause_s)
+            generator = random.Random(f'{self.seed}/{name}')
+            scene = faults.Scene(cluster, log, generator)
+            heals.append((name, faults.FAULTS[name](scene)))
+        return heals
+
+    def _await_text(
+        self, cluster: clusters.Cluster, log: recorder.Recorder
+    ) -> None:
+        if not log.history.accepted:
+            return
+        accepted_ms = max(log.history.accepted.values())
+        due_ms = accepted_ms + checkers.CONFIG_SPREAD_MS
+        while log.clock.now_ms() <= due_ms:
+            versions = [
+                cluster.status(vm).get('config_version')
+                for vm, child in cluster.daemons.items()
+                if child.alive
+            ]
+            if all(version == 2 for version in versions):
+                return
+            time.sleep(BALANCER_POLL_S)
+
+    def _cut_by_drain(
+        self, history: histories.History, log: recorder.Recorder
+    ) -> list[str]:
+        if set(self.names) - faults.HARMLESS_TO_CONNECTIONS:
+            return []
+        cut = [
+            (stream.request_id, cut.vm, cut.at_ms, cut.reason)
+            for stream in history.streams
+            for cut in stream.cuts
+        ]
+        cut += [
+            (call.request_id, call.vm, call.ended_ms, call.answer)
+            for call in history.calls
+            if call.outcome == 'cut'
+        ]
+        return [
+            request_id
+            for request_id, vm, at_ms, reason in cut
+            if _within(log.drains.get(vm, []), at_ms)
+            and 'TimeoutError' not in reason
+        ]
+
+    def _keep(
+        self,
+        history: histories.History,
+        log: recorder.Recorder,
+        violations: tuple[checkers.Violation, ...],
+    ) -> None:
+        trace = {
+            'seed': self.seed,
+            'deployment': self.deployment,
+            'faults': self.names,
+            'events': log.events,
+            'violations': [str(violation) for violation in violations],
+            'history': history,
+        }
+        path = self.directory / 'trace.json'
+        path.write_bytes(msgspec.json.encode(trace))
+
+
+def run_round(seed: int, directory: pathlib.Path) -> Verdict:
+    """Run the round of a seed."""
+    return Round(seed, directory).run()
+
+
+def _within(interval: list[float], at_ms: float) -> bool:
+    return len(interval) == 2 and interval[0] <= at_ms <= interval[1]
+
+
+def _counts(counter: collections.Counter) -> str:
+    return ','.join(f'{name}:{n}' for name, n in sorted(counter.items()))
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,92 @@
+"""Seeded fault rounds with real processes for a given time."""
+
+import collections
+import pathlib
+import random
+import time
+import typing
+
+import typer
+
+from standins import cluster as clusters
+from standins import rounds
+
+__all__ = ['main', 'soak']
+
+DIRECTORY = pathlib.Path('run/soak')
+MAX_SEED = 1_000_000
+SHOWN_VIOLATIONS = 10
+
+
+def soak(
+    minutes: float, seed: int, daemon_module: str
+) -> list[rounds.Verdict]:
+    """Run rounds until the time is over.
+
+    Args:
+        minutes: No round is begun after this time.
+        seed: Seed of the rounds' seeds.
+        daemon_module: Module that is run as the daemon.
+    """
+    generator = random.Random(seed)
+    until_s = time.monotonic() + minutes * 60
+    verdicts = []
+    while time.monotonic() < until_s:
+        round_seed = generator.randrange(MAX_SEED)
+        one = rounds.Round(round_seed, DIRECTORY, daemon_module=daemon_module)
+        verdicts.append(_run(one))
+    return verdicts
+
+
+def _run(one: rounds.Round) -> rounds.Verdict:
+    verdict = one.run()
+    typer.echo(str(verdict))
+    for violation in verdict.violations[:SHOWN_VIOLATIONS]:
+        typer.echo(f'  {violation}')
+    if verdict.violations:
+        typer.echo(f'  trace: {verdict.trace}/trace.json')
+    return verdict
+
+
+def _table(verdicts: list[rounds.Verdict]) -> str:
+    counts: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
+    for verdict in verdicts:
+        for name in verdict.faults:
+            counts[name][0] += 1
+            counts[name][1] += len(verdict.violations)
+    lines = ['fault | rounds | violations', '--- | --- | ---']
+    lines += [f'{n} | {r} | {v}' for n, (r, v) in sorted(counts.items())]
+    return '\n'.join(lines)
+
+
+def main(
+    minutes: typing.Annotated[
+        float, typer.Option(help='How long to begin new rounds.')
+    ] = 5.0,
+    seed: typing.Annotated[int, typer.Option(help='Seed of the run.')] = 1,
+    replay: typing.Annotated[
+        int | None, typer.Option(help='Run the round of this seed alone.')
+    ] = None,
+    fault: typing.Annotated[
+        list[str] | None, typer.Option(help='Faults in place of drawn ones.')
+    ] = None,
+    daemon_module: str = clusters.DAEMON_MODULE,
+) -> None:
+    """Run seeded fault rounds; exit 1 if an invariant was violated."""
+    if replay is not None:
+        one = rounds.Round(
+            replay, DIRECTORY, tuple(fault or ()), daemon_module
+        )
+        verdicts = [_run(one)]
+    else:
+        verdicts = soak(minutes, seed, daemon_module)
+    violations = sum(len(verdict.violations) for verdict in verdicts)
+    typer.echo(_table(verdicts))
+    typer.echo(
+        f'soak seed={seed} rounds={len(verdicts)} violations={violations}'
+    )
+    raise typer.Exit(1 if violations else 0)
+
+
+if __name__ == '__main__':
+    typer.run(main)
