--- a/standins/callers.py
+++ b/standins/callers.py
@@ -11,7 +11,7 @@
 from eelgrassknot import clock as clocks
 from standins import history as histories
 
-__all__ = ['Callers', 'EntryPoint', 'Mix']
+__all__ = ['Callers', 'EntryPoint', 'Mix', 'Stream']
 
 READ_TIMEOUT_S = 6.0
 RESUME_PAUSE_S = 0.2
@@ -115,7 +115,7 @@
         )
         with self.lock:
             self.streams.append(record)
-        stream = _Stream(self, record, generator)
+        stream = Stream(self, record, generator)
         stream.run(generator.choice(self.mix.keys))
         record.ended_ms = self.clock.now_ms()
 
@@ -180,7 +180,7 @@
         _note_answer(record, answer, body)
 
 
-class _Stream:
+class Stream:
     """One streamed request, resumed as often as its connection is cut."""
 
     def __init__(
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from eelgrassknot.coordination import config_store
+from eelgrassknot import ids
+from eelgrassknot.platforms import http as http_platform
 from eelgrassknot.settings import examples
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
@@ -17,6 +20,7 @@
 __all__ = ['Cluster', 'Shape', 'Upstream', 'shape_of']
 
 HOST = '127.0.0.1'
+AUTHOR = 'harness'
 DAEMON_MODULE = 'eelgrassknot.daemon'
 LINK_GROUP = 'region-link'
 PLATFORM = 'platform'
@@ -342,28 +346,14 @@
             'state': state,
         }
 
-    def accept_text(self) -> int:
-        """Put the present text in force by the command line.
-
-        Returns:
-            The exit code of the command.
-        """
-        path = self.directory / 'text.json'
-        path.write_bytes(msgspec.json.encode(self.text))
-        child = processes.Child(
-            'accept',
-            [
-                'eelgrassknot.cli.main',
-                '--platform',
-                f'http://{self.platform.address}',
-                'config',
-                'accept',
-                str(path),
-            ],
-            self.directory / 'accept.log',
+    def accept_text(self) -> bool:
+        """Put the present text in force; return whether it was accepted."""
+        document = msgspec.json.encode(self.text).decode()
+        table = http_platform.create(f'http://{self.platform.address}').table
+        outcome = config_store.accept(
+            table, document, AUTHOR, ids.ChangeId(ids.random_id())
         )
-        self.children.append(child)
-        return child.process.wait(processes.START_TIMEOUT_S)
+        return outcome.is_ok()
 
     def start_daemon(self, vm: str) -> None:
         """Start the daemon of an entry VM, or start it anew."""
@@ -405,7 +395,12 @@
                 raise RuntimeError(f'{vm} ended; see {log}')
             return self.is_ready(vm)
 
-        processes.wait_until(ready, f'{vm} is ready')
+        try:
+            processes.wait_until(ready, f'{vm} is ready')
+        except RuntimeError as error:
+            operators = self.settings[vm].listen.operators
+            _, reasons = processes.ask(operators, 'GET', '/readyz')
+            raise RuntimeError(f'{error}: {reasons.decode()}') from error
 
     def is_ready(self, vm: str) -> bool:
         """Return whether a daemon says that it is ready."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,205 @@
+"""Demonstration on loopback: a mixed load, a lost VM, a whole answer."""
+
+import pathlib
+import random
+import subprocess
+import sys
+import threading
+import time
+
+import typer
+
+from eelgrassknot import clock as clocks
+from standins import callers as load
+from standins import checkers
+from standins import cluster as clusters
+from standins import history as histories
+from standins import processes
+
+__all__ = ['main']
+
+DIRECTORY = pathlib.Path('run/demo')
+STREAM_CALLERS = 8
+PLAIN_CALLERS = 6
+LOAD_S = 3.0
+LONG_ANSWER_TOKENS = 120
+TOKENS_BEFORE_KILL = 40
+ANSWER_TIMEOUT_S = 60.0
+REPORT_TIMEOUT_S = 60.0
+DRAIN_TIMEOUT_S = 60.0
+SHOWN_TOKENS = 4
+
+
+def main() -> None:
+    """Show the system at work; exit 0 if nothing was lost or doubled."""
+    _say('starting the stand-ins and three daemons on loopback')
+    with clusters.Cluster(_shape(), DIRECTORY, seed=1) as cluster:
+        cluster.wait_ready()
+        for vm, settings in cluster.settings.items():
+            zone = settings.availability_zone
+            _say(f'  {vm} in {zone} is ready at {settings.listen.callers}')
+        history = _show(cluster)
+        _drain(cluster)
+        code = _report(cluster)
+    violations = checkers.check(history)
+    for violation in violations:
+        _say(f'violated: {violation}')
+    _say('done' if not violations and code == 0 else 'the demo failed')
+    raise typer.Exit(1 if violations else code)
+
+
+def _shape() -> clusters.Shape:
+    whole = clusters.shape_of('nadroga')
+    zones = list(whole.entry_vms)
+    return clusters.Shape(
+        whole.deployment,
+        dict.fromkeys(zones, 1),
+        dict.fromkeys(zones, 1),
+        dict.fromkeys(zones, 1),
+        zone_delay_ms=whole.zone_delay_ms,
+    )
+
+
+def _show(cluster: clusters.Cluster) -> histories.History:
+    entry_points = [
+        load.EntryPoint(vm, settings.listen.callers)
+        for vm, settings in cluster.settings.items()
+    ]
+    mix = load.Mix(
+        'shop-assistant',
+        'desk-app',
+        '/availability',
+        '/bookings',
+        tuple(cluster.account_keys.values()),
+        mean_tokens=40,
+    )
+    callers = load.Callers(mix, entry_points, seed=1)
+    _say(
+        f'{STREAM_CALLERS} callers of shop-assistant and '
+        f'{PLAIN_CALLERS} of desk-app for {LOAD_S:g} s'
+    )
+    callers.start(STREAM_CALLERS, PLAIN_CALLERS)
+    time.sleep(LOAD_S)
+    answer = _lose_a_vm(cluster, mix, entry_points, callers)
+    time.sleep(LOAD_S)
+    callers.stop()
+    return _gather(cluster, callers, answer)
+
+
+def _lose_a_vm(
+    cluster: clusters.Cluster,
+    mix: load.Mix,
+    entry_points: list[load.EntryPoint],
+    callers: load.Callers,
+) -> histories.StreamRecord:
+    first = entry_points[0]
+    record = histories.StreamRecord(
+        'long-answer',
+        LONG_ANSWER_TOKENS,
+        clocks.MonotonicClock().now_ms(),
+        tokens=[],
+        vms=[],
+        cuts=[],
+    )
+    single = load.Callers(mix, [first], seed=2)
+    stream = load.Stream(single, record, random.Random(2))
+    thread = threading.Thread(target=stream.run, args=(mix.keys[0],))
+    thread.start()
+    _say(f'a write-up of {LONG_ANSWER_TOKENS} tokens begins at {first.vm}')
+    processes.wait_until(
+        lambda: len(record.tokens) >= TOKENS_BEFORE_KILL,
+        f'{TOKENS_BEFORE_KILL} tokens',
+    )
+    _say(f'killing {first.vm} after {len(record.tokens)} tokens')
+    single.set_entry_points(entry_points[1:])
+    callers.set_entry_points(entry_points[1:])
+    cluster.kill(first.vm)
+    thread.join(ANSWER_TIMEOUT_S)
+    _tell_answer(record)
+    return record
+
+
+def _tell_answer(record: histories.StreamRecord) -> None:
+    resumed = next((i for i, t in enumerate(record.tokens) if t.resumed), 0)
+    begin = max(0, resumed - SHOWN_TOKENS)
+    before = ' '.join(t.text for t in record.tokens[begin:resumed])
+    after = ' '.join(
+        t.text for t in record.tokens[resumed : resumed + SHOWN_TOKENS]
+    )
+    _say(f'resumed at {record.vms[-1]}: ... {before} | {after} ...')
+    _say(
+        f'the caller has {len(record.tokens)} of {record.wanted_tokens} '
+        f'tokens; outcome {record.outcome}'
+    )
+
+
+def _gather(
+    cluster: clusters.Cluster,
+    callers: load.Callers,
+    answer: histories.StreamRecord,
+) -> histories.History:
+    history = histories.History(
+        streams=[*callers.streams, answer],
+        calls=callers.calls,
+        executions=_executions(cluster),
+    )
+    for name, records in (
+        ('shop-assistant', history.streams),
+        ('desk-app', history.calls),
+    ):
+        done = sum(record.outcome == 'done' for record in records)
+        _say(f'{name}: {done} of {len(records)} requests were answered')
+    return history
+
+
+def _executions(cluster: clusters.Cluster) -> list[histories.Execution]:
+    return [
+        histories.Execution(
+            upstream.vm,
+            each['request_id'],
+            each['key'],
+            each['method'],
+            each['at_ms'],
+        )
+        for upstream in cluster.upstreams.values()
+        if upstream.kind.value == 'plain'
+        for each in processes.ask_json(
+            upstream.child.address, 'GET', '/control/history'
+        )['executions']
+    ]
+
+
+def _drain(cluster: clusters.Cluster) -> None:
+    """Have the daemons write their last part of the report and end."""
+    _say('draining the daemons that are left')
+    left = [vm for vm, child in cluster.daemons.items() if child.alive]
+    for vm in left:
+        cluster.terminate(vm)
+    for vm in left:
+        code = cluster.daemons[vm].process.wait(DRAIN_TIMEOUT_S)
+        _say(f'  {vm} has ended with exit code {code}')
+
+
+def _report(cluster: clusters.Cluster) -> int:
+    _say('the report:')
+    return subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'eelgrassknot.cli.main',
+            '--platform',
+            f'http://{cluster.platform.address}',
+            'report',
+        ],
+        timeout=REPORT_TIMEOUT_S,
+        check=False,
+    ).returncode
+
+
+def _say(line: str) -> None:
+    typer.echo(f'==> {line}')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from eelgrassknot import logs
+
 __all__ = ['Child', 'ask', 'start_standin', 'wait_until']
 
 START_TIMEOUT_S = 30.0
@@ -60,7 +62,10 @@
     name: str, arguments: list[str], directory: pathlib.Path
 ) -> Child:
     """Start a stand-in that prints the address on which it listens."""
-    return Child(name, arguments, directory / f'{name}.log')
+    log = directory / f'{name}.log'
+    # An earlier run's address must not be taken for this one's.
+    log.unlink(missing_ok=True)
+    return Child(name, arguments, log)
 
 
 def wait_listening(child: Child) -> str:
@@ -126,8 +131,15 @@
 def ask_json(
     address: str, method: str, path: str, value: object = None
 ) -> dict:
-    """Send one request and return the JSON answer; empty if none came."""
+    """Send one request and return the JSON answer; empty if refused."""
     status, body = ask(address, method, path, value)
     if status == 0 or status >= http.client.BAD_REQUEST:
+        logs.warning(
+            'standin_refused',
+            address=address,
+            path=path,
+            status=status,
+            body=body.decode(errors='replace')[:300],
+        )
         return {}
     return msgspec.json.decode(body or b'{}')
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -180,7 +180,7 @@
         self, cluster: clusters.Cluster, log: recorder.Recorder
     ) -> None:
         cluster.text['client_accounts'][0]['weight'] += 1.0
-        if cluster.accept_text() == 0:
+        if cluster.accept_text():
             log.accepted(2)
 
     def _harm(
