Policy whole and thin: prediction, memory, queue, fairness, health, limits

Cause: the dispatcher sampled two engines and sent every request at once, so memory filled inside the engines. Change: each mechanism as one module, wired in the dispatcher; a benchmark world of engine models with the baselines and an oracle.

--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the policy: decision objects before engine models."""
--- /dev/null
+++ b/eelgrassknot/policy/admission.py
@@ -0,0 +1,182 @@
+"""Queue at the entry VM, where order can still change.
+
+A request waits here rather than in an engine, so that fairness and
+priority act on it and a refusal is truthfully "not run". The queue is
+bounded; when it is full the account that holds most of it for its
+weight loses its newest request. A request whose deadline cannot be met
+is refused when it comes, not when the deadline has passed.
+"""
+
+import collections
+import dataclasses
+
+from eelgrassknot import clock
+from eelgrassknot import ids
+from eelgrassknot.policy import fairness
+from eelgrassknot.policy import messages
+from eelgrassknot import states
+
+__all__ = ['EntryQueue', 'QueuedRequest']
+
+MAX_QUEUED = 256
+BATCH_AGEING_MS = 20_000.0
+RATE_SMOOTHING_MS = 5_000.0
+MIN_RATE_PER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedRequest:
+    """A request that waits at this VM.
+
+    Attributes:
+        arrived_ms: When it came.
+        deadline_ms: When it is of no use any more.
+    """
+
+    profile: messages.RequestProfile
+    arrived_ms: float
+    deadline_ms: float
+
+
+class EntryQueue:
+    """Requests of one service that wait for an engine.
+
+    Args:
+        counters: Token counters of the accounts.
+    """
+
+    def __init__(self, counters: fairness.TokenCounters) -> None:
+        self.counters = counters
+        self.lanes: dict[tuple, collections.deque[QueuedRequest]] = {}
+        self.size = 0
+        self.rate_per_s = 0.0
+        self.rate_known = False
+        self.left = 0
+        self.rate_from_ms: float | None = None
+
+    def push(self, queued: QueuedRequest) -> QueuedRequest | None:
+        """Take a request in; return one that must be refused for it.
+
+        Args:
+            queued: The request.
+        """
+        profile = queued.profile
+        account = profile.client_account
+        accounts = self.accounts()
+        if account not in accounts:
+            self.counters.lift(account, accounts)
+        lane = self.lanes.setdefault(
+            (profile.priority, account), collections.deque()
+        )
+        lane.append(queued)
+        self.size += 1
+        if self.size <= MAX_QUEUED:
+            return None
+        return self._push_out()
+
+    def head(self, now_ms: float) -> QueuedRequest | None:
+        """Return the request that goes next, which stays queued."""
+        key = self._next_lane(now_ms)
+        return self.lanes[key][0] if key else None
+
+    def pop(self, queued: QueuedRequest) -> None:
+        """Take out a request that leaves for an engine."""
+        self.remove(queued)
+        self.left += 1
+
+    def remove(self, queued: QueuedRequest) -> None:
+        """Take out a request."""
+        key = (queued.profile.priority, queued.profile.client_account)
+        self.lanes[key].remove(queued)
+        self.size -= 1
+        if not self.lanes[key]:
+            del self.lanes[key]
+
+    def find(self, request: ids.RequestId) -> QueuedRequest | None:
+        """Return a queued request by its id."""
+        for lane in self.lanes.values():
+            for queued in lane:
+                if queued.profile.request == request:
+                    return queued
+        return None
+
+    def expired(self, now_ms: float) -> list[QueuedRequest]:
+        """Return the requests whose deadline has passed."""
+        return [
+            queued
+            for lane in self.lanes.values()
+            for queued in lane
+            if queued.deadline_ms <= now_ms
+        ]
+
+    def accounts(self) -> list[ids.ClientAccountId]:
+        """Return the accounts that have something queued."""
+        return list(dict.fromkeys(account for _, account in self.lanes))
+
+    def expected_wait_ms(self, profile: messages.RequestProfile) -> float:
+        """Return how long a request that came now would wait.
+
+        Args:
+            profile: The request.
+        """
+        if not self.rate_known or not self.size:
+            return 0.0
+        account = profile.client_account
+        weights = self.counters.weight
+        accounts = dict.fromkeys([*self.accounts(), account])
+        total = sum(weights(name) for name in accounts)
+        share = weights(account) / total
+        ahead = 0
+        for (priority, other), lane in self.lanes.items():
+            urgent = priority is states.Priority.INTERACTIVE
+            if other == account and (urgent or priority is profile.priority):
+                ahead += len(lane)
+        rate = max(self.rate_per_s, MIN_RATE_PER_S)
+        fair_ms = ahead / (rate * share) * clock.MS_PER_SECOND
+        whole_ms = self.size / rate * clock.MS_PER_SECOND
+        return min(fair_ms, whole_ms)
+
+    def measure(self, now_ms: float) -> None:
+        """Bring the rate at which requests leave up to date."""
+        if self.rate_from_ms is None:
+            self.rate_from_ms = now_ms
+            return
+        span_ms = now_ms - self.rate_from_ms
+        if span_ms < clock.MS_PER_SECOND:
+            return
+        seen = self.left / span_ms * clock.MS_PER_SECOND
+        if self.size:
+            part = min(1.0, span_ms / RATE_SMOOTHING_MS)
+            if not self.rate_known:
+                part = 1.0
+            self.rate_per_s += part * (seen - self.rate_per_s)
+            self.rate_known = True
+        elif seen > self.rate_per_s:
+            self.rate_per_s = seen
+        self.left = 0
+        self.rate_from_ms = now_ms
+
+    def _next_lane(self, now_ms: float) -> tuple | None:
+        if not self.lanes:
+            return None
+        urgent = [
+            key
+            for key, lane in self.lanes.items()
+            if key[0] is states.Priority.INTERACTIVE
+            or now_ms - lane[0].arrived_ms >= BATCH_AGEING_MS
+        ]
+        keys = urgent or list(self.lanes)
+        account = self.counters.lowest([key[1] for key in keys])
+        lanes = [key for key in keys if key[1] == account]
+        return min(lanes, key=lambda key: self.lanes[key][0].arrived_ms)
+
+    def _push_out(self) -> QueuedRequest:
+        held: collections.Counter = collections.Counter()
+        for (_, account), lane in self.lanes.items():
+            held[account] += len(lane)
+        loser = max(held, key=lambda a: (held[a] / self.counters.weight(a), a))
+        lanes = [key for key in self.lanes if key[1] == loser]
+        key = min(lanes, key=lambda k: k[0] is states.Priority.INTERACTIVE)
+        newest = self.lanes[key][-1]
+        self.remove(newest)
+        return newest
--- a/eelgrassknot/policy/dispatcher.py
+++ b/eelgrassknot/policy/dispatcher.py
@@ -1,30 +1,68 @@
 """Dispatcher: decides when and where each request of a VM runs."""
 
-import collections
+import dataclasses
 import random
 
 from eelgrassknot import ids
 from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot.policy import engine_pool
+from eelgrassknot.policy import fairness
+from eelgrassknot.policy import health
+from eelgrassknot.policy import limits
 from eelgrassknot.policy import messages
+from eelgrassknot.policy import placement
+from eelgrassknot.policy import plain
+from eelgrassknot.policy import region_budget
+from eelgrassknot.policy import retry_budget
+from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
-__all__ = ['Dispatcher']
+__all__ = ['Dispatcher', 'DispatcherStatus', 'UpstreamStatus']
 
 RETRY_AFTER_MS = 1_000.0
-MAX_QUEUED = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """What the dispatcher believes of one upstream, for operators.
+
+    Attributes:
+        own_running: Requests of this VM there.
+        limit: Concurrency limit over all VMs; None for plain services.
+        token_interval_ms: Smoothed time for one token; 0 if unknown.
+        in_use: Whether it may be given work.
+    """
+
+    upstream: ids.UpstreamId
+    service: ids.ServiceName
+    own_running: int
+    limit: float | None
+    token_interval_ms: float
+    in_use: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatcherStatus:
+    """State of the dispatcher, for operators.
+
+    Attributes:
+        queued: Requests that wait, by service.
+        spilled_bytes: Bytes granted on the link between regions.
+    """
+
+    queued: dict[ids.ServiceName, int]
+    upstreams: tuple[UpstreamStatus, ...]
+    spilled_bytes: float
 
 
 class Dispatcher:
-    """Sends each request to the least loaded of two sampled upstreams.
+    """Takes in events and the time; returns dispatches and refusals.
 
     Args:
         availability_zone: Zone of this VM.
         region: Region of this VM.
         generator: Source of random choices.
-
-    References:
-        Mitzenmacher, "The Power of Two Choices in Randomized Load
-        Balancing", IEEE TPDS 2001.
+        options: Mechanisms in use; all by default.
     """
 
     def __init__(
@@ -32,14 +70,27 @@
         availability_zone: ids.AvailabilityZoneId,
         region: ids.RegionId,
         generator: random.Random,
+        options: placement.PlacementOptions | None = None,
     ) -> None:
         self.availability_zone = availability_zone
         self.region = region
         self.generator = generator
-        self.upstreams: dict[str, kernel_events.UpstreamInfo] = {}
-        self.running: collections.Counter = collections.Counter()
-        self.profiles: dict[str, messages.RequestProfile] = {}
-        self.placed: dict[str, ids.UpstreamId] = {}
+        self.options = options or placement.PlacementOptions()
+        self.profiles: dict[ids.RequestId, messages.RequestProfile] = {}
+        self.plain_upstreams: dict[
+            ids.UpstreamId, kernel_events.UpstreamInfo
+        ] = {}
+        self.plain_placed: dict[ids.RequestId, ids.UpstreamId] = {}
+        self.plain = plain.PlainPlacement(generator)
+        self.pools: dict[ids.ServiceName, engine_pool.EnginePool] = {}
+        self.counters = fairness.TokenCounters()
+        self.book = health.HealthBook()
+        self.link = region_budget.RegionBudget()
+        self.limits = limits.AccountLimits()
+        self.retries: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+        self.text: services_text.ServicesText | None = None
+        self.withheld: frozenset = frozenset()
+        self.vm_count = 1
 
     def handle(
         self, event: messages.Event, now_ms: float
@@ -51,52 +102,315 @@
             now_ms: The present time of this VM's clock.
         """
         match event:
+            case messages.TokensProduced(request, count):
+                self._produced(request, count, now_ms)
+            case messages.Tick():
+                return self._tick(now_ms)
             case messages.RequestArrived(profile):
-                self.profiles[profile.request] = profile
-                return [self._place(profile, frozenset())]
+                return self._arrived(profile, now_ms)
+            case messages.RequestEnded(request, complete):
+                return self._ended(request, complete, now_ms)
             case messages.RetryRequested(request, failed):
-                self._release(request)
-                profile = self.profiles[request]
-                return [self._place(profile, frozenset([failed]))]
-            case messages.RequestEnded(request):
-                self._release(request)
-                self.profiles.pop(request, None)
+                return self._retry(request, failed, now_ms)
+            case messages.RequestCancelled(request):
+                self._cancelled(request)
+            case messages.LoadReported(load):
+                return self._reported(load, now_ms)
+            case messages.UpstreamFailed(upstream):
+                self.book.failed(upstream, now_ms)
+            case _:
+                return self._told(event, now_ms)
+        return []
+
+    def announcement(self, now_ms: float) -> messages.Announcement:
+        """Return what the peers are to be told.
+
+        Args:
+            now_ms: The present time.
+        """
+        shares = [
+            view.share()
+            for pool in self.pools.values()
+            for view in pool.views.values()
+        ]
+        demands = [
+            messages.AccountDemand(account, rate)
+            for account, rate in self.limits.demands(now_ms).items()
+        ]
+        return messages.Announcement(tuple(shares), tuple(demands))
+
+    def status(self, now_ms: float) -> DispatcherStatus:
+        """Return the dispatcher's state, for operators.
+
+        Args:
+            now_ms: The present time.
+        """
+        upstreams = [
+            self._engine_status(view, now_ms)
+            for pool in self.pools.values()
+            for view in pool.views.values()
+        ]
+        upstreams += [
+            self._plain_status(info, now_ms)
+            for info in self.plain_upstreams.values()
+        ]
+        queued = {name: p.queue.size for name, p in self.pools.items()}
+        return DispatcherStatus(
+            queued, tuple(upstreams), self.link.spilled_bytes
+        )
+
+    def _told(
+        self, event: messages.Event, now_ms: float
+    ) -> list[messages.Action]:
+        match event:
             case messages.UpstreamsKnown(upstreams):
-                self.upstreams = {u.upstream: u for u in upstreams}
+                return self._upstreams_known(upstreams, now_ms)
+            case messages.ConfigChanged(text):
+                self._configure(text, now_ms)
+            case messages.DigestReceived():
+                self._digest(event, now_ms)
+            case messages.CacheEventsSeen():
+                self._cache_events(event)
+            case messages.AccountDemandHeard(vm, account, rate):
+                self.limits.heard(vm, account, rate, now_ms)
+            case messages.EntryVmsKnown(count):
+                self.vm_count = count
+                self.limits.vm_count = count
+                self.link.configure(self.link.link, count, now_ms)
+        return []
+
+    def _arrived(
+        self, profile: messages.RequestProfile, now_ms: float
+    ) -> list[messages.Action]:
+        wait_ms = self.limits.admit(profile.client_account, now_ms)
+        if wait_ms > 0:
+            return [
+                messages.Refuse(
+                    profile.request,
+                    states.RefusalReason.ACCOUNT_LIMIT,
+                    wait_ms,
+                )
+            ]
+        self._budget(profile.service).earn()
+        self.profiles[profile.request] = profile
+        if profile.kind is states.ServiceKind.PLAIN:
+            return [self._place_plain(profile, None, now_ms)]
+        pool = self._pool(profile.service)
+        return self._settled(pool.arrive(profile, now_ms))
+
+    def _retry(
+        self, request: ids.RequestId, failed: ids.UpstreamId, now_ms: float
+    ) -> list[messages.Action]:
+        profile = self.profiles.get(request)
+        if profile is None:
+            return []
+        if not self._budget(profile.service).spend():
+            actions = self._ended(request, False, now_ms)
+            refusal = messages.Refuse(
+                request, states.RefusalReason.RETRY_BUDGET, RETRY_AFTER_MS
+            )
+            return [refusal, *actions]
+        if profile.kind is states.ServiceKind.PLAIN:
+            self._release_plain(request)
+            return [self._place_plain(profile, failed, now_ms)]
+        pool = self._pool(profile.service)
+        return self._settled(pool.retry(profile, failed, now_ms))
+
+    def _ended(
+        self, request: ids.RequestId, complete: bool, now_ms: float
+    ) -> list[messages.Action]:
+        profile = self.profiles.pop(request, None)
+        if profile is None:
+            return []
+        if profile.kind is states.ServiceKind.PLAIN:
+            upstream = self._release_plain(request)
+            if complete and upstream is not None:
+                self.book.succeeded(upstream)
+            return []
+        pool = self._pool(profile.service)
+        pool.end(request, complete, now_ms)
+        return self._settled(pool.pump(now_ms))
+
+    def _cancelled(self, request: ids.RequestId) -> None:
+        profile = self.profiles.get(request)
+        if profile is None or profile.service not in self.pools:
+            return
+        pool = self.pools[profile.service]
+        if pool.cancel(request):
+            del self.profiles[request]
+
+    def _produced(
+        self, request: ids.RequestId, count: int, now_ms: float
+    ) -> None:
+        profile = self.profiles.get(request)
+        if profile is None or count <= 0:
+            return
+        self.limits.charge(profile.client_account, count, now_ms)
+        self._pool(profile.service).produced(request, count, now_ms)
+
+    def _tick(self, now_ms: float) -> list[messages.Action]:
+        self.limits.update(now_ms)
+        actions: list[messages.Action] = []
+        for pool in self.pools.values():
+            actions += pool.tick(now_ms)
+        return self._settled(actions)
+
+    def _reported(
+        self, load: messages.EngineLoad, now_ms: float
+    ) -> list[messages.Action]:
+        if load.upstream in self.plain_upstreams:
+            self.plain.report(load.upstream, load.running)
+            return []
+        for pool in self.pools.values():
+            if load.upstream in pool.views:
+                pool.report(load, now_ms)
+                return self._settled(pool.pump(now_ms))
         return []
 
-    def _place(
-        self, profile: messages.RequestProfile, excluded: frozenset
+    def _digest(self, event: messages.DigestReceived, now_ms: float) -> None:
+        if not self.options.digests:
+            return
+        for pool in self.pools.values():
+            view = pool.views.get(event.upstream)
+            if view is not None:
+                view.peer(event, now_ms)
+
+    def _cache_events(self, event: messages.CacheEventsSeen) -> None:
+        for pool in self.pools.values():
+            if event.upstream in pool.views:
+                pool.affinity.stored(event.upstream, event.stored)
+                pool.affinity.evicted(event.upstream, event.evicted)
+
+    def _upstreams_known(
+        self,
+        upstreams: tuple[kernel_events.UpstreamInfo, ...],
+        now_ms: float,
+    ) -> list[messages.Action]:
+        by_service: dict[ids.ServiceName, list] = {
+            name: [] for name in self.pools
+        }
+        self.plain_upstreams = {}
+        for info in upstreams:
+            if info.kind is states.ServiceKind.PLAIN:
+                self.plain_upstreams[info.upstream] = info
+            else:
+                by_service.setdefault(info.service, []).append(info)
+        actions: list[messages.Action] = []
+        for name, infos in by_service.items():
+            pool = self._pool(name)
+            pool.know(infos, now_ms)
+            actions += pool.pump(now_ms)
+        return self._settled(actions)
+
+    def _configure(
+        self, text: services_text.ServicesText, now_ms: float
+    ) -> None:
+        self.text = text
+        self.withheld = frozenset(text.withheld_upstreams)
+        self.counters.weights = {
+            account.client_account: account.weight
+            for account in text.client_accounts
+        }
+        self.limits.configure(text.client_accounts, now_ms)
+        self.link.configure(text.region_link, self.vm_count, now_ms)
+        for pool in self.pools.values():
+            service = text.service(pool.service)
+            if service is not None:
+                pool.configure(service, self.withheld)
+
+    def _pool(self, name: ids.ServiceName) -> engine_pool.EnginePool:
+        pool = self.pools.get(name)
+        if pool is not None:
+            return pool
+        pool = engine_pool.EnginePool(
+            name,
+            self.availability_zone,
+            self.region,
+            self.generator,
+            self.counters,
+            self.book,
+            self.link,
+            self.options,
+        )
+        self.pools[name] = pool
+        service = self.text.service(name) if self.text else None
+        if service is not None:
+            pool.configure(service, self.withheld)
+        return pool
+
+    def _budget(self, name: ids.ServiceName) -> retry_budget.RetryBudget:
+        return self.retries.setdefault(name, retry_budget.RetryBudget())
+
+    def _settled(
+        self, actions: list[messages.Action]
+    ) -> list[messages.Action]:
+        for action in actions:
+            if isinstance(action, messages.Refuse):
+                self.profiles.pop(action.request, None)
+        return actions
+
+    def _place_plain(
+        self,
+        profile: messages.RequestProfile,
+        failed: ids.UpstreamId | None,
+        now_ms: float,
     ) -> messages.Action:
-        candidates = self._candidates(profile, excluded)
+        candidates = self._plain_candidates(profile, failed, now_ms)
         if not candidates:
+            self.profiles.pop(profile.request, None)
             return messages.Refuse(
                 profile.request,
                 states.RefusalReason.NO_UPSTREAM,
                 RETRY_AFTER_MS,
             )
-        count = min(2, len(candidates))
-        sampled = self.generator.sample(candidates, count)
-        chosen = min(sampled, key=lambda u: self.running[u.upstream])
-        self.running[chosen.upstream] += 1
-        self.placed[profile.request] = chosen.upstream
+        chosen = self.plain.choose(candidates)
+        self.plain_placed[profile.request] = chosen.upstream
         crosses = chosen.region != self.region
         return messages.Dispatch(profile.request, chosen, crosses)
 
-    def _candidates(
-        self, profile: messages.RequestProfile, excluded: frozenset
+    def _plain_candidates(
+        self,
+        profile: messages.RequestProfile,
+        failed: ids.UpstreamId | None,
+        now_ms: float,
     ) -> list[kernel_events.UpstreamInfo]:
-        usable = [
-            upstream
-            for upstream in self.upstreams.values()
-            if upstream.service == profile.service
-            and upstream.state is states.UpstreamState.LIVE
-            and upstream.upstream not in excluded
-        ]
-        near = [u for u in usable if u.region == self.region]
-        return near or usable
+        live = {
+            info.upstream: info
+            for info in self.plain_upstreams.values()
+            if info.service == profile.service
+            and info.state is states.UpstreamState.LIVE
+            and info.upstream not in self.withheld
+            and info.upstream != failed
+        }
+        usable = self.book.usable(list(live), now_ms)
+        near = [n for n in usable if live[n].region == self.region]
+        return [live[name] for name in near or usable]
 
-    def _release(self, request: ids.RequestId) -> None:
-        upstream = self.placed.pop(request, None)
+    def _release_plain(self, request: ids.RequestId) -> ids.UpstreamId | None:
+        upstream = self.plain_placed.pop(request, None)
         if upstream is not None:
-            self.running[upstream] -= 1
+            self.plain.release(upstream)
+        return upstream
+
+    def _engine_status(self, view, now_ms: float) -> UpstreamStatus:
+        known = self.book.upstreams.get(view.info.upstream)
+        return UpstreamStatus(
+            view.info.upstream,
+            view.info.service,
+            len(view.own),
+            view.limit.limit,
+            known.interval_ms if known else 0.0,
+            not self.book.is_ejected(view.info.upstream, now_ms),
+        )
+
+    def _plain_status(
+        self, info: kernel_events.UpstreamInfo, now_ms: float
+    ) -> UpstreamStatus:
+        return UpstreamStatus(
+            info.upstream,
+            info.service,
+            self.plain.running[info.upstream],
+            None,
+            0.0,
+            not self.book.is_ejected(info.upstream, now_ms),
+        )
--- /dev/null
+++ b/eelgrassknot/policy/length.py
@@ -0,0 +1,250 @@
+"""Prediction of output lengths from finished and running requests.
+
+An output's length is only known once it has ended, and long outputs are
+still running when short ones have long been counted. Each histogram
+therefore keeps hazards (how many of those that reached a length ended
+there), in which running and cancelled requests count as far as they
+came: the actuarial form of the Kaplan-Meier estimator.
+
+References:
+    Kaplan and Meier, "Nonparametric Estimation from Incomplete
+    Observations", JASA 1958.
+"""
+
+import math
+
+__all__ = ['LengthClass', 'LengthPredictor', 'SurvivalHistogram']
+
+BINS_PER_DOUBLING = 4
+BIN_COUNT = 17 * BINS_PER_DOUBLING
+HALF_LIFE_MS = 300_000.0
+MAX_WEIGHT = 1e12
+PRIOR_STRENGTH = 8.0
+REBUILD_INTERVAL_MS = 1_000.0
+PRIOR_MEDIAN_TOKENS = 200.0
+PRIOR_SIGMA = 1.5
+PROMPT_CLASS_TOKENS = (256, 1_024, 4_096)
+
+
+def _bin_of(tokens: int) -> int:
+    if tokens <= 1:
+        return 0
+    index = int(math.log2(tokens) * BINS_PER_DOUBLING)
+    return min(index, BIN_COUNT - 1)
+
+
+def _edge(index: int) -> float:
+    return 2.0 ** (index / BINS_PER_DOUBLING)
+
+
+def _prior_hazards() -> list[float]:
+    survival = [
+        0.5
+        * math.erfc(
+            math.log(_edge(b) / PRIOR_MEDIAN_TOKENS)
+            / (PRIOR_SIGMA * math.sqrt(2))
+        )
+        for b in range(BIN_COUNT + 1)
+    ]
+    return [
+        1 - survival[b + 1] / survival[b] if survival[b] > 0 else 1.0
+        for b in range(BIN_COUNT)
+    ]
+
+
+_EDGES = [_edge(b) for b in range(BIN_COUNT + 1)]
+_PRIOR = _prior_hazards()
+
+
+class SurvivalHistogram:
+    """Decayed hazards of output length, leaning on a coarser histogram.
+
+    Old observations lose weight by growing the weight of new ones, so
+    that adding one costs the same however many there are.
+
+    Args:
+        parent: Histogram of the coarser class, or None for the prior.
+    """
+
+    def __init__(self, parent: 'SurvivalHistogram | None') -> None:
+        self.parent = parent
+        self.exposure = [0.0] * BIN_COUNT
+        self.ends = [0.0] * BIN_COUNT
+        self.hazards = list(_PRIOR)
+        self.survival = [1.0] * (BIN_COUNT + 1)
+        self.weight = 1.0
+        self.weight_ms: float | None = None
+        self.built_ms = -math.inf
+        self.expected = self.mean()
+
+    def reached(self, first: int, last: int, now_ms: float) -> None:
+        """Count a request as having reached bins.
+
+        Args:
+            first: Index of the first bin that it newly reached.
+            last: Index of the last one.
+            now_ms: The present time.
+        """
+        weight = self._weight_at(now_ms)
+        for index in range(first, last + 1):
+            self.exposure[index] += weight
+
+    def ended(self, index: int, now_ms: float) -> None:
+        """Count a request as having ended of itself in a bin."""
+        self.ends[index] += self._weight_at(now_ms)
+
+    def build(self, now_ms: float) -> None:
+        """Bring the survival curve up to date, at most once a second."""
+        if now_ms - self.built_ms < REBUILD_INTERVAL_MS:
+            return
+        self.built_ms = now_ms
+        base = _PRIOR
+        if self.parent is not None:
+            self.parent.build(now_ms)
+            base = self.parent.hazards
+        strength = PRIOR_STRENGTH * self._weight_at(now_ms)
+        alive = 1.0
+        for index in range(BIN_COUNT):
+            ends = self.ends[index] + strength * base[index]
+            exposure = self.exposure[index] + strength
+            hazard = min(1.0, ends / exposure)
+            self.hazards[index] = hazard
+            alive *= 1.0 - hazard
+            self.survival[index + 1] = alive
+        self.expected = self.mean()
+
+    def survival_at(self, tokens: float) -> float:
+        """Return the chance that an output is longer than ``tokens``."""
+        if tokens <= 1:
+            return 1.0
+        place = math.log2(tokens) * BINS_PER_DOUBLING
+        index = int(place)
+        if index >= BIN_COUNT:
+            return 0.0
+        low = self.survival[index]
+        high = self.survival[index + 1]
+        return low + (high - low) * (place - index)
+
+    def mean(self) -> float:
+        """Return the expected length of an output in tokens."""
+        total = 1.0
+        for index in range(BIN_COUNT):
+            width = _EDGES[index + 1] - _EDGES[index]
+            low = self.survival[index]
+            total += width * 0.5 * (low + self.survival[index + 1])
+        return total
+
+    def _weight_at(self, now_ms: float) -> float:
+        if self.weight_ms is None:
+            self.weight_ms = now_ms
+        age_ms = now_ms - self.weight_ms
+        weight = 2.0 ** (age_ms / HALF_LIFE_MS)
+        if weight > MAX_WEIGHT:
+            self._rescale(weight)
+            self.weight_ms = now_ms
+            return 1.0
+        return weight
+
+    def _rescale(self, weight: float) -> None:
+        self.exposure = [value / weight for value in self.exposure]
+        self.ends = [value / weight for value in self.ends]
+
+
+class LengthClass:
+    """A class of requests: its histogram and those of coarser classes.
+
+    Attributes:
+        finest: Histogram that answers questions on this class.
+    """
+
+    def __init__(self, histograms: tuple[SurvivalHistogram, ...]) -> None:
+        self.histograms = histograms
+        self.finest = histograms[-1]
+
+    def started(self, now_ms: float) -> None:
+        """Count a request that has started."""
+        for histogram in self.histograms:
+            histogram.reached(0, 0, now_ms)
+
+    def progressed(self, before: int, after: int, now_ms: float) -> None:
+        """Count a running request's way from one length to another."""
+        first = _bin_of(before)
+        last = _bin_of(after)
+        if last == first:
+            return
+        for histogram in self.histograms:
+            histogram.reached(first + 1, last, now_ms)
+
+    def ended(self, produced: int, now_ms: float) -> None:
+        """Count a request that ended of itself; others need no word."""
+        index = _bin_of(produced)
+        for histogram in self.histograms:
+            histogram.ended(index, now_ms)
+
+    @property
+    def expected(self) -> float:
+        """Expected length of an output in tokens."""
+        return self.finest.expected
+
+    def chance_longer(self, ahead: float, produced: int) -> float:
+        """Return the chance of at least ``ahead`` more tokens.
+
+        Args:
+            ahead: Tokens from now.
+            produced: Tokens produced so far.
+        """
+        here = self.finest.survival_at(produced)
+        if here <= 1e-9:
+            return 0.5
+        return self.finest.survival_at(produced + ahead) / here
+
+
+class LengthPredictor:
+    """Histograms by (service, client account, class of prompt size).
+
+    A thin class leans on its client account's, that one on its
+    service's, and that one on a broad prior.
+
+    Example:
+        >>> predictor = LengthPredictor()
+        >>> found = predictor.length_class('desk', 'hotel', 300, 0.0)
+        >>> 0.4 < found.chance_longer(200, 0) < 0.6
+        True
+    """
+
+    def __init__(self) -> None:
+        self.services: dict[tuple, SurvivalHistogram] = {}
+        self.classes: dict[tuple, LengthClass] = {}
+
+    def length_class(
+        self, service: str, account: str, prompt_tokens: int, now_ms: float
+    ) -> LengthClass:
+        """Return the class of a request, with its curve up to date.
+
+        Args:
+            service: Name of the service.
+            account: Client account.
+            prompt_tokens: Size of the prompt.
+            now_ms: The present time.
+        """
+        size = sum(prompt_tokens >= bound for bound in PROMPT_CLASS_TOKENS)
+        key = (service, account, size)
+        found = self.classes.get(key)
+        if found is None:
+            found = self._new_class(service, account)
+            self.classes[key] = found
+        found.finest.build(now_ms)
+        return found
+
+    def _new_class(self, service: str, account: str) -> LengthClass:
+        whole = self._coarse((service,), None)
+        by_account = self._coarse((service, account), whole)
+        finest = SurvivalHistogram(by_account)
+        return LengthClass((whole, by_account, finest))
+
+    def _coarse(
+        self, key: tuple, parent: SurvivalHistogram | None
+    ) -> SurvivalHistogram:
+        if key not in self.services:
+            self.services[key] = SurvivalHistogram(parent)
+        return self.services[key]
--- a/eelgrassknot/policy/messages.py
+++ b/eelgrassknot/policy/messages.py
@@ -8,12 +8,16 @@
 from eelgrassknot import states
 
 __all__ = [
+    'AccountDemand',
+    'AccountDemandHeard',
     'Action',
+    'Announcement',
     'CacheEventsSeen',
     'ConfigChanged',
     'DigestReceived',
     'Dispatch',
     'EngineLoad',
+    'EntryVmsKnown',
     'Event',
     'FirstTokenSeen',
     'GapObserved',
@@ -27,6 +31,7 @@
     'Tick',
     'TokensProduced',
     'UpstreamFailed',
+    'UpstreamShare',
     'UpstreamsKnown',
 ]
 
@@ -152,12 +157,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DigestReceived:
-    """A peer said what it holds at an upstream by its own dispatches."""
+    """A peer said what it holds at an upstream by its own dispatches.
+
+    Attributes:
+        running: Requests that it has there.
+        expected_tokens: Memory in tokens that they are expected to hold
+            512 tokens from then.
+        held_tokens: Memory in tokens that they hold now.
+    """
 
     vm: ids.VmId
     upstream: ids.UpstreamId
     running: int
     expected_tokens: int
+    held_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountDemandHeard:
+    """A peer said how much of its traffic a client account makes."""
+
+    vm: ids.VmId
+    client_account: ids.ClientAccountId
+    requests_per_second: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryVmsKnown:
+    """How many entry VMs, this one among them, share limits and link."""
+
+    count: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,6 +228,8 @@
     | UpstreamFailed
     | LoadReported
     | DigestReceived
+    | AccountDemandHeard
+    | EntryVmsKnown
     | CacheEventsSeen
     | UpstreamsKnown
     | ConfigChanged
@@ -229,3 +260,29 @@
 
 
 Action = Dispatch | Refuse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamShare:
+    """What this VM holds at an upstream; see DigestReceived."""
+
+    upstream: ids.UpstreamId
+    running: int
+    expected_tokens: int
+    held_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountDemand:
+    """How many requests a second a client account sends to this VM."""
+
+    client_account: ids.ClientAccountId
+    requests_per_second: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What this VM tells its peers in each exchange of digests."""
+
+    upstreams: tuple[UpstreamShare, ...]
+    demands: tuple[AccountDemand, ...]
--- /dev/null
+++ b/eelgrassknot/policy/placement.py
@@ -0,0 +1,217 @@
+"""Choice of an engine for a generation.
+
+Of a few sampled engines (so that VMs with the same old view do not all
+choose the same one) and those that hold the prompt's prefix, it takes the
+one with the lowest cost among those whose memory, by forecast, will hold
+the request.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+from eelgrassknot import ids
+from eelgrassknot.policy import engine_view
+from eelgrassknot.policy import health
+from eelgrassknot.policy import length
+from eelgrassknot.policy import memory
+from eelgrassknot.policy import messages
+from eelgrassknot.policy import objective
+from eelgrassknot.policy import prefix
+from eelgrassknot.settings import text as services_text
+
+__all__ = ['Placement', 'PlacementOptions']
+
+SAMPLED = 3
+KNOWN_TOTAL_TOKENS = 16_384
+USABLE_MEMORY = 0.97
+PREFILL_SCALE_TOKENS = 4_096
+OTHER_ZONE_COST = 0.02
+PROFILE_INTERVAL_MS = 1_000.0
+UNLEARNED_PROMPT_TOKENS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementOptions:
+    """Mechanisms that can be turned off, to measure what each brings.
+
+    Attributes:
+        forecast: Whether memory growth is forecast; else only present
+            memory counts.
+        quantile: Whether a quantile is kept free, and not the mean.
+        affinity: Whether prefixes count.
+        digests: Whether peers' digests count.
+        feedback: Whether the concurrency limit binds.
+        ejection: Whether slow engines are ejected.
+        fairness: Whether accounts' counters order the queue.
+        sampled: How many engines are sampled.
+    """
+
+    forecast: bool = True
+    quantile: bool = True
+    affinity: bool = True
+    digests: bool = True
+    feedback: bool = True
+    ejection: bool = True
+    fairness: bool = True
+    sampled: int = SAMPLED
+
+
+class Placement:
+    """Chooses engines for one service.
+
+    Args:
+        availability_zone: Zone of this VM.
+        generator: Source of random choices.
+        options: Mechanisms in use.
+    """
+
+    def __init__(
+        self,
+        availability_zone: ids.AvailabilityZoneId,
+        generator: random.Random,
+        options: PlacementOptions,
+    ) -> None:
+        self.availability_zone = availability_zone
+        self.generator = generator
+        self.options = options
+        self.typical = _unlearned()
+        self.learned = False
+        self.typical_ms = -PROFILE_INTERVAL_MS
+
+    def learn(
+        self, views: Sequence[engine_view.EngineView], now_ms: float
+    ) -> None:
+        """Bring the forecast of a typical running request up to date.
+
+        What other VMs run is only known in sum; it is taken to look like
+        what this VM runs.
+
+        Args:
+            views: Engines of the service.
+            now_ms: The present time.
+        """
+        if now_ms - self.typical_ms < PROFILE_INTERVAL_MS:
+            return
+        self.typical_ms = now_ms
+        count = sum(view.own_forecast.count for view in views)
+        if not count:
+            return
+        typical = memory.MemoryForecast()
+        for view in views:
+            typical.add_scaled(view.own_forecast, 1.0 / count)
+        if not self.learned:
+            self.learned = True
+            self.typical = typical
+            return
+        smoothed = memory.MemoryForecast()
+        smoothed.add_scaled(self.typical, 0.8)
+        smoothed.add_scaled(typical, 0.2)
+        self.typical = smoothed
+
+    def choose(
+        self,
+        profile: messages.RequestProfile,
+        footprint: memory.Footprint,
+        views: Sequence[engine_view.EngineView],
+        knobs: objective.Knobs,
+        affinity: prefix.PrefixAffinity,
+        book: health.HealthBook,
+        now_ms: float,
+    ) -> engine_view.EngineView | None:
+        """Return the engine for a request, or None if all are crowded.
+
+        Args:
+            profile: The request.
+            footprint: What it is expected to hold.
+            views: Engines that may be used.
+            knobs: Knobs of the service's objective.
+            affinity: Prefixes that the engines hold.
+            book: Health of the engines, for those in slow start.
+            now_ms: The present time.
+        """
+        best = None
+        best_cost = 0.0
+        for view in self._sample(views):
+            allowance = book.allowance(view.info.upstream, now_ms)
+            cost = self._cost(
+                profile, footprint, view, knobs, affinity, allowance, now_ms
+            )
+            if cost is None:
+                continue
+            if best is None or cost < best_cost:
+                best = view
+                best_cost = cost
+        return best
+
+    def running(self, view: engine_view.EngineView, now_ms: float) -> int:
+        """Return how many requests an engine is believed to run."""
+        others = view.others(self.typical, now_ms)
+        return int(len(view.own) + others.running)
+
+    def _sample(
+        self, views: Sequence[engine_view.EngineView]
+    ) -> list[engine_view.EngineView]:
+        if len(views) <= self.options.sampled:
+            return list(views)
+        return self.generator.sample(views, self.options.sampled)
+
+    def _cost(
+        self,
+        profile: messages.RequestProfile,
+        footprint: memory.Footprint,
+        view: engine_view.EngineView,
+        knobs: objective.Knobs,
+        affinity: prefix.PrefixAffinity,
+        allowance: float,
+        now_ms: float,
+    ) -> float | None:
+        others = view.others(self.typical, now_ms)
+        running = len(view.own) + others.running
+        limit = view.limit.limit if self.options.feedback else 1e9
+        if running >= 1 and (running >= limit or len(view.own) >= allowance):
+            return None
+        total = KNOWN_TOTAL_TOKENS
+        if view.load is not None:
+            total = view.load.kv_tokens_total
+        peak = self._peak(footprint, view, others, knobs)
+        if running >= 1 and peak > total * USABLE_MEMORY:
+            return None
+        uncovered = profile.prompt_tokens
+        if self.options.affinity:
+            uncovered -= affinity.covered_tokens(
+                view.info.upstream, profile.prefixes
+            )
+        cost = knobs.memory_weight * peak / total
+        cost += knobs.batch_weight * running / view.limit.limit
+        cost += max(0, uncovered) / PREFILL_SCALE_TOKENS
+        if view.info.availability_zone != self.availability_zone:
+            cost += OTHER_ZONE_COST
+        return cost
+
+    def _peak(
+        self,
+        footprint: memory.Footprint,
+        view: engine_view.EngineView,
+        others: engine_view.Others,
+        knobs: objective.Knobs,
+    ) -> float:
+        own = view.own_forecast
+        if not self.options.forecast:
+            held = own.means[0] + others.forecast.means[0]
+            return held + footprint.means[0]
+        deviations = knobs.deviations if self.options.quantile else 0.0
+        return own.peak_with(others.forecast, footprint, deviations)
+
+
+def _unlearned() -> memory.MemoryForecast:
+    forecast = memory.MemoryForecast()
+    length_class = length.LengthPredictor().length_class('', '', 0, 0.0)
+    forecast.add(
+        memory.new_footprint(
+            length_class,
+            UNLEARNED_PROMPT_TOKENS,
+            services_text.DEFAULT_MAX_TOKENS,
+        )
+    )
+    return forecast
--- /dev/null
+++ b/tests/policy/dispatcher.feature
@@ -0,0 +1,59 @@
+Feature: The dispatcher decides when and where requests run
+
+  Background:
+    Given a dispatcher before 3 engines of 10000 tokens
+
+  Scenario: a request goes to an engine at once while there is room
+    When a request of 500 prompt tokens arrives
+    Then it is dispatched
+
+  Scenario: requests wait at the entry VM rather than in a full engine
+    When 60 requests of 900 prompt tokens arrive
+    Then some but not all are dispatched
+    And no engine is given more prompt tokens than it holds
+    When all that were dispatched end
+    Then more are dispatched
+
+  Scenario: a request is refused early when its deadline cannot be met
+    Given 40 requests wait and one leaves each second
+    When a request with a deadline in 5000 ms arrives
+    Then it is refused at once because of its deadline
+
+  Scenario: a queued request is refused when its deadline has passed
+    When 60 requests of 900 prompt tokens arrive
+    And 40000 ms pass
+    Then all that were not dispatched are refused for their deadline
+
+  Scenario: a retry does not go back to the engine that failed
+    When a request of 500 prompt tokens arrives
+    And its engine fails and it is retried
+    Then it is dispatched to another engine
+
+  Scenario: retries are a bounded share of requests
+    When a request is retried 100 times
+    Then it is refused for the retry budget
+
+  Scenario: nothing new goes to an engine that is leaving or withheld
+    When one engine is leaving and another is withheld
+    And 5 requests of 100 prompt tokens arrive
+    Then all go to the third engine
+
+  Scenario: a cancelled request leaves the queue
+    When 60 requests of 900 prompt tokens arrive
+    And those that wait are cancelled
+    Then the queue is empty
+
+  Scenario: peers are told what this VM holds
+    When a request of 500 prompt tokens arrives
+    Then the announcement names its engine with 1 request of 500 tokens
+
+  Scenario: what peers hold counts as much as what this VM holds
+    When a peer says that it holds 9900 tokens at each engine
+    And a request of 500 prompt tokens arrives
+    Then it waits
+
+  Scenario: a plain call is retried elsewhere and a failing upstream ejected
+    Given 3 plain upstreams of which one refuses every call
+    When 200 plain calls are made one after another
+    Then each is answered
+    And the refusing one is tried less than 20 times
