--- /dev/null
+++ b/eelgrassknot/cli/commands/status.py
@@ -0,0 +1,155 @@
+"""``eelgrassknot status``: what each entry VM says of itself."""
+
+import concurrent.futures
+import typing
+
+import msgspec
+import result
+import typer
+
+from eelgrassknot.cli import console
+from eelgrassknot.coordination import config_store
+from eelgrassknot import http_client
+from eelgrassknot.platforms import base
+from eelgrassknot import states
+
+__all__ = ['VmStatus', 'status']
+
+TIMEOUT_MS = 2_000
+MAX_THREADS = 16
+# The platform's list names one port of a VM. Where that is the callers',
+# the operators' listener is on the port after it, as "init" writes it.
+PORT_OFFSETS = (0, 1)
+
+
+class StatusDocument(msgspec.Struct, frozen=True):
+    """What is read of a VM's own status document."""
+
+    vm: str
+    incarnation: str = ''
+    availability_zone: str = ''
+    state: str = ''
+    config_version: int = 0
+
+
+class VmStatus(msgspec.Struct, frozen=True):
+    """Status of one VM.
+
+    Attributes:
+        behind: Versions that it has still to adopt, or None if unknown.
+        document: Its whole status document, or None without an answer.
+    """
+
+    vm: str
+    availability_zone: str
+    state: str
+    config_version: int | None
+    behind: int | None
+    reason: str
+    document: typing.Any = None
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Status of all entry VMs."""
+
+    config_version: int
+    vms: list[VmStatus]
+
+
+@console.application.command()
+def status(
+    context: typer.Context,
+    as_json: console.JsonOption = False,
+    operators_port: typing.Annotated[
+        int | None,
+        typer.Option(help="Port of all VMs' operators' listeners."),
+    ] = None,
+) -> None:
+    """Show each entry VM, and who is behind the text in force."""
+    platform = console.platform(context)
+    version = _version_in_force(platform.table)
+    match platform.vms.list_vms():
+        case result.Err(error):
+            console.fail(error)
+        case result.Ok(listed):
+            vms = [v for v in listed if v.kind is states.VmKind.ENTRY]
+    with concurrent.futures.ThreadPoolExecutor(MAX_THREADS) as executor:
+        asked = executor.map(
+            lambda vm: _vm_status(vm, version, operators_port), vms
+        )
+        found = sorted(asked, key=lambda vm: (vm.availability_zone, vm.vm))
+    if as_json:
+        console.print_json(Status(version, found))
+        return
+    typer.echo(f'version {version} of the text is in force')
+    console.print_table(
+        ('vm', 'availability zone', 'state', 'version', 'behind', 'note'),
+        [_status_row(vm) for vm in found],
+    )
+
+
+def _version_in_force(table: base.Table) -> int:
+    match config_store.read_stamp(table):
+        case result.Err(error):
+            console.fail(error)
+        case result.Ok(stamp):
+            return stamp.version if stamp else 0
+
+
+def _vm_status(
+    vm: base.VmEntry, version: int, operators_port: int | None
+) -> VmStatus:
+    ports = [operators_port] if operators_port else _ports(vm)
+    reason = 'it did not answer'
+    for port in ports:
+        answer = http_client.request(
+            'GET',
+            f'http://{vm.address}:{port}/status',
+            timeout_ms=TIMEOUT_MS,
+        )
+        match answer:
+            case result.Ok(http_client.HttpAnswer(status=200, body=body)):
+                found = _read_document(body)
+                if found is not None and found.vm == vm.vm:
+                    return _answered(vm, found, body, version)
+                reason = 'another process answered on its port'
+    return VmStatus(
+        vm.vm, vm.availability_zone, vm.state.value, None, None, reason
+    )
+
+
+def _ports(vm: base.VmEntry) -> list[int]:
+    return [vm.port + offset for offset in PORT_OFFSETS]
+
+
+def _read_document(body: bytes) -> StatusDocument | None:
+    try:
+        return msgspec.json.decode(body, type=StatusDocument)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _answered(
+    vm: base.VmEntry, found: StatusDocument, body: bytes, version: int
+) -> VmStatus:
+    behind = max(0, version - found.config_version)
+    return VmStatus(
+        vm.vm,
+        found.availability_zone,
+        found.state,
+        found.config_version,
+        behind,
+        'behind' if behind else '',
+        msgspec.json.decode(body),
+    )
+
+
+def _status_row(vm: VmStatus) -> tuple[str, ...]:
+    return (
+        vm.vm,
+        vm.availability_zone,
+        vm.state,
+        '-' if vm.config_version is None else str(vm.config_version),
+        '-' if vm.behind is None else str(vm.behind),
+        vm.reason,
+    )
--- /dev/null
+++ b/eelgrassknot/cli/console.py
@@ -0,0 +1,126 @@
+"""What all commands share: application, platform, output, exit codes."""
+
+import enum
+import os
+import sys
+import typing
+
+import msgspec
+import typer
+
+from eelgrassknot import exceptions
+from eelgrassknot.kernel import registry
+from eelgrassknot.platforms import base
+
+__all__ = [
+    'ExitCode',
+    'JsonOption',
+    'application',
+    'fail',
+    'platform',
+    'print_json',
+    'print_table',
+    'usage_error',
+]
+
+PLATFORM_VARIABLE = 'EELGRASSKNOT_PLATFORM'
+GAP = '  '
+
+application = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help='Look at the system, and change its one text.',
+)
+
+JsonOption = typing.Annotated[
+    bool, typer.Option('--json', help='Print JSON for other programs.')
+]
+
+
+class ExitCode(enum.IntEnum):
+    """What the exit code of a command tells."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE_OR_UNKNOWN = 3
+
+
+_UNCLEAR = (
+    exceptions.PlatformUnavailableError,
+    exceptions.UnknownOutcomeError,
+    exceptions.MalformedAnswerError,
+)
+
+
+@application.callback()
+def options(
+    context: typer.Context,
+    platform: typing.Annotated[
+        str,
+        typer.Option(
+            envvar=PLATFORM_VARIABLE, help='Base URL of the platform.'
+        ),
+    ] = '',
+    plugin: typing.Annotated[
+        str, typer.Option(help='Plug-in that reaches the platform.')
+    ] = 'http',
+) -> None:
+    """Look at the system, and change its one text."""
+    context.obj = (plugin, platform)
+
+
+def platform(context: typer.Context) -> base.Platform:
+    """Return the platform that the options name.
+
+    Args:
+        context: Context of the command.
+    """
+    plugin, url = context.obj
+    if not url.startswith(('http://', 'https://')):
+        usage_error(
+            'name the platform: eelgrassknot --platform http://IP:port'
+        )
+    registry.load_plugins('eelgrassknot.platforms')
+    try:
+        return base.PLATFORMS.lookup(plugin)(url)
+    except exceptions.PluginError as error:
+        usage_error(str(error))
+
+
+def fail(error: exceptions.EelgrassknotError) -> typing.NoReturn:
+    """Print an error with its remedy, and end with its exit code."""
+    typer.echo(f'error: {error}', err=True)
+    is_unclear = isinstance(error, _UNCLEAR)
+    code = ExitCode.UNREACHABLE_OR_UNKNOWN if is_unclear else ExitCode.REFUSED
+    raise typer.Exit(code)
+
+
+def usage_error(message: str) -> typing.NoReturn:
+    """Say how the command is to be used, and end with exit code 2."""
+    typer.echo(f'error: {message}', err=True)
+    raise typer.Exit(ExitCode.USAGE)
+
+
+def print_json(value: typing.Any) -> None:
+    """Print a value as one JSON document."""
+    body = msgspec.json.format(msgspec.json.encode(value))
+    typer.echo(body.decode())
+
+
+def print_table(
+    columns: typing.Sequence[str], rows: typing.Iterable[typing.Sequence[str]]
+) -> None:
+    """Print aligned columns."""
+    grid = [tuple(columns), *rows]
+    widths = [max(map(len, cells)) for cells in zip(*grid)]
+    for row in grid:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths)]
+        typer.echo(GAP.join(cells).rstrip())
+
+
+def close_output() -> None:
+    """Leave standard output closed after its reader has gone."""
+    # The interpreter would complain when it flushes at its end.
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/eelgrassknot/daemon.py
+++ b/eelgrassknot/daemon.py
@@ -18,6 +18,7 @@
 from eelgrassknot.kernel import registry
 from eelgrassknot import logs
 from eelgrassknot.platforms import base as platform_base
+from eelgrassknot.settings import check as settings_check
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
 
@@ -91,15 +92,15 @@
 ) -> None:
     """Run the daemon of an entry VM."""
     try:
+        if check:
+            _check(settings)
+            return
         loaded = vm_settings.load(settings)
         for key in (*loaded.cursor_keys, *loaded.peer_keys):
             key.secret_bytes()
     except exceptions.SettingsError as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(1) from error
-    if check:
-        typer.echo('the settings can be used')
-        return
     logs.configure(loaded.log_level)
     leave = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: leave.set())
@@ -107,6 +108,16 @@
     serve(create_node(loaded), leave)
 
 
+def _check(path: str) -> None:
+    """Print all faults of the settings, or that there are none."""
+    found = settings_check.check_vm(vm_settings.read_document(path))
+    for fault in found:
+        typer.echo(str(fault), err=True)
+    if found:
+        raise typer.Exit(1)
+    typer.echo('the settings can be used')
+
+
 def main() -> None:
     """Entry point of ``eelgrassknotd``."""
     typer.run(run)
--- /dev/null
+++ b/eelgrassknot/reporting/audit.py
@@ -0,0 +1,99 @@
+"""Reads the audit trail and shows it to people."""
+
+import collections.abc
+import json
+
+import msgspec
+import result
+
+from eelgrassknot.coordination import rows
+from eelgrassknot.platforms import base
+from eelgrassknot.reporting import rendering
+
+__all__ = ['AuditFilter', 'ORDER_KINDS', 'lines', 'read']
+
+PAGE_ROWS = 500
+MAX_VALUE_CHARACTERS = 100
+
+ORDER_KINDS = frozenset(
+    {rows.AuditKind.ORDER, rows.AuditKind.ROLLOUT, rows.AuditKind.LEASE}
+)
+
+
+class AuditFilter(msgspec.Struct, frozen=True):
+    """Which rows of the trail are wanted.
+
+    Attributes:
+        since_ms: Wall-clock time from which on.
+        until_ms: Wall-clock time before which.
+        author: Only by this person or VM, or None for all.
+        service: Only what concerns this service, or None for all.
+        kinds: Only of these kinds, or None for all.
+    """
+
+    since_ms: int
+    until_ms: int
+    author: str | None = None
+    service: str | None = None
+    kinds: frozenset[rows.AuditKind] | None = None
+
+    def matches(self, record: rows.AuditRecord) -> bool:
+        """Return whether a row is wanted; its time is."""
+        # A row that names no service concerns all of them.
+        concerned = not record.services or self.service in record.services
+        return (
+            (self.author is None or self.author == record.author)
+            and (self.service is None or concerned)
+            and (self.kinds is None or record.kind in self.kinds)
+        )
+
+
+def read(
+    table: base.Table, wanted: AuditFilter
+) -> result.Result[list[rows.AuditRecord], base.PlatformError]:
+    """Return the wanted rows, the earliest first.
+
+    Args:
+        table: The platform's table.
+        wanted: Which rows.
+    """
+    found = []
+    after = rows.audit_key(max(0, wanted.since_ms), '')
+    end = rows.audit_key(max(0, wanted.until_ms), '')
+    while True:
+        listed = table.list_rows(
+            rows.AUDIT_TABLE, after=after, limit=PAGE_ROWS
+        )
+        if isinstance(listed, result.Err):
+            return listed
+        page = [row for row in listed.ok_value if row.key < end]
+        for row in page:
+            record = rows.decode(row.value, rows.AuditRecord)
+            if isinstance(record, result.Err):
+                return record
+            if wanted.matches(record.ok_value):
+                found.append(record.ok_value)
+        if len(page) < PAGE_ROWS:
+            return result.Ok(found)
+        after = page[-1].key
+
+
+def lines(record: rows.AuditRecord) -> collections.abc.Iterator[str]:
+    """Yield a row of the trail as lines for people."""
+    services = ','.join(record.services) or 'all services'
+    yield (
+        f'{rendering.show_time(record.at_ms)} {record.kind.value}'
+        f' by {record.author} ({services}): {record.summary}'
+    )
+    for change in record.changes:
+        before, after = _short(change.before), _short(change.after)
+        yield f'    {change.path}: {before} -> {after}'
+    for name, value in record.detail.items():
+        yield f'    {name}: {_short(value)}'
+
+
+def _short(value: object) -> str:
+    text = json.dumps(value)
+    if len(text) > MAX_VALUE_CHARACTERS:
+        return text[:MAX_VALUE_CHARACTERS] + '...'
+    return text
--- a/eelgrassknot/settings/addresses.py
+++ b/eelgrassknot/settings/addresses.py
@@ -5,6 +5,7 @@
 import typing
 import urllib.parse
 
+from eelgrassknot import exceptions
 from eelgrassknot.kernel import registry
 from eelgrassknot.platforms import base as platform_base
 from eelgrassknot.settings import faults
@@ -145,12 +146,10 @@
     elif file_name is not None:
         place = faults.child(path, 'file')
         try:
-            text = vm_settings.read_file(file_name)
-        except (OSError, ValueError) as error:
+            text = vm_settings.read_document(file_name)
+        except exceptions.SettingsError as error:
             yield faults.Fault(
-                place,
-                f'the file cannot be read: {type(error).__name__}',
-                'name a readable file with the secret in it',
+                place, error.message, 'name a file with the secret in it'
             )
         else:
             yield from _length_faults(text.strip(), place)
--- /dev/null
+++ b/tests/cli_process.py
@@ -0,0 +1,67 @@
+"""Runs the command line and the stand-in platform as processes."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import urllib.request
+
+__all__ = ['PlatformProcess', 'run_cli', 'write_example']
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TIMEOUT_S = 60
+
+
+def run_cli(arguments, directory, platform=''):
+    """Run the command line to its end.
+
+    Args:
+        arguments: Its arguments.
+        directory: Where it runs.
+        platform: URL of the platform, or empty for none.
+    """
+    chosen = ['--platform', platform] if platform else []
+    return subprocess.run(
+        [sys.executable, '-m', 'eelgrassknot.cli.main', *chosen, *arguments],
+        cwd=directory,
+        env={'PYTHONPATH': str(ROOT), 'COLUMNS': '200', 'USER': 'tester'},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+def write_example(name, directory, *options):
+    """Write an example and return the keys of its client accounts."""
+    done = run_cli(
+        ['init', name, str(directory), '--json', *options], directory
+    )
+    assert done.returncode == 0, done.stderr
+    return json.loads(done.stdout)
+
+
+class PlatformProcess:
+    """The stand-in platform on a port that the system chose."""
+
+    def __init__(self):
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'standins.platform'],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        address = self.process.stdout.readline().split()[-1]
+        self.url = f'http://{address}'
+
+    def send(self, method, path, value):
+        """Send a JSON value to the platform's controls."""
+        request = urllib.request.Request(
+            self.url + path, json.dumps(value).encode(), method=method
+        )
+        urllib.request.urlopen(request, timeout=TIMEOUT_S).close()
+
+    def stop(self):
+        """End the process."""
+        self.process.terminate()
+        self.process.wait(TIMEOUT_S)
+        self.process.stdout.close()
--- a/tests/settings/check.feature
+++ b/tests/settings/check.feature
@@ -92,7 +92,7 @@
       | platform.url    | "127.0.0.1:9000"   | $.platform.url    | write it as "http://IP:port" |
       | peer_keys       | []                 | $.peer_keys       | add a key |
       | cursor_keys.0.secret | "short"       | $.cursor_keys[0].secret | use at least 32 bytes |
-      | cursor_keys.0.secret | {"file": "/nowhere/at/all"} | $.cursor_keys[0].secret.file | name a readable file with the secret in it |
+      | cursor_keys.0.secret | {"file": "/nowhere/at/all"} | $.cursor_keys[0].secret.file | name a file with the secret in it |
       | log_level       | "loud"             | $.log_level       | use one of debug, info, warning, error |
       | known_peer      | []                 | $.known_peer      | write known_peers, or remove the field |
 
