Run feature files in parallel, those that start daemons fewer at a time

Cause: 179 scenarios in one process took 2 min 30 s, of which 100 s were spent waiting. Each file now has a process of its own, six at a time; files tagged @processes run three at a time after the others. The output of a file is shown only when it is red; checked with a scenario that was made to fail.

--- a/tests/coordination/order_processes.feature
+++ b/tests/coordination/order_processes.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Daemons order engines under the lease of their region
 
   Scenario: a rollout goes on under another holder while the first is paused
--- a/tests/coordination/processes.feature
+++ b/tests/coordination/processes.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Daemons keep one configuration, one membership and one lease
 
   Scenario: racing operators, an outage, and a VM that starts in it
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,20 +1,47 @@
-"""Runs all features; fails on a red scenario that is not known."""
+"""Runs all features; fails on a red scenario that is not known.
 
+Each feature file runs in a process of its own. Those that start daemons
+are tagged ``@processes`` and run fewer at a time.
+"""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import io
 import pathlib
 import re
 import sys
+import traceback
 
 from behave import configuration
 from behave import model_core
 from behave import runner as behave_runner
 
-__all__ = ['known_red', 'main']
+__all__ = ['FeatureOutcome', 'known_red', 'main', 'run_feature']
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+TESTS = ROOT / 'tests'
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+PROCESSES_TAG = '@processes'
+WORKERS = 6
+PROCESS_FEATURE_WORKERS = 3
 
 _ENTRY = re.compile(r'^test: (?P<name>.+)$', re.MULTILINE)
-_BAD = ('failed', 'error', 'hook_error', 'cleanup_error', 'undefined')
+
+
+@dataclasses.dataclass(frozen=True)
+class FeatureOutcome:
+    """What became of the scenarios of one feature file.
+
+    Attributes:
+        broken: Whether the run failed in another way than by a scenario.
+    """
+
+    path: str
+    passed: tuple[str, ...]
+    failed: tuple[str, ...]
+    broken: bool
+    output: str
 
 
 def known_red() -> set[str]:
@@ -26,19 +53,70 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Run the features and return the exit code.
+    """Run features and return the exit code.
 
     Args:
-        arguments: Paths and options for behave; none means all.
+        arguments: Feature files or folders; none means all.
     """
-    paths = arguments or [str(ROOT / 'tests')]
-    config = configuration.Configuration(
-        ['--format', 'progress', '--no-skipped', *paths]
-    )
-    run = behave_runner.Runner(config)
-    broken = run.run()
+    files = _feature_files(arguments or [str(TESTS)])
+    calm = [f for f in files if PROCESSES_TAG not in f.read_text()]
+    heavy = [f for f in files if f not in calm]
+    outcomes = _run_all(calm, WORKERS)
+    outcomes += _run_all(heavy, PROCESS_FEATURE_WORKERS)
+    return _verdict(outcomes)
+
+
+def run_feature(path: str) -> FeatureOutcome:
+    """Run one feature file in this process.
+
+    Args:
+        path: Path of the file.
+    """
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        config = configuration.Configuration(
+            ['--format', 'plain', '--no-skipped', '--no-color', path]
+        )
+        run = behave_runner.Runner(config)
+        try:
+            failed_run = run.run()
+        except Exception:
+            output.write(traceback.format_exc())
+            failed_run = True
     passed, failed = _sort(run.features)
-    return _verdict(passed, failed, broken)
+    broken = (failed_run and not failed) or not passed + failed
+    return FeatureOutcome(
+        path, tuple(passed), tuple(failed), broken, output.getvalue()
+    )
+
+
+def _feature_files(arguments: list[str]) -> list[pathlib.Path]:
+    files = []
+    for argument in arguments:
+        path = pathlib.Path(argument).resolve()
+        files += [path] if path.is_file() else sorted(path.rglob('*.feature'))
+    return files
+
+
+def _run_all(files: list[pathlib.Path], workers: int) -> list[FeatureOutcome]:
+    outcomes = []
+    with concurrent.futures.ProcessPoolExecutor(
+        workers, max_tasks_per_child=1
+    ) as executor:
+        futures = [executor.submit(run_feature, str(file)) for file in files]
+        for future in concurrent.futures.as_completed(futures):
+            outcome = future.result()
+            _show(outcome)
+            outcomes.append(outcome)
+    return outcomes
+
+
+def _show(outcome: FeatureOutcome) -> None:
+    name = pathlib.Path(outcome.path).relative_to(ROOT)
+    red = len(outcome.failed) + outcome.broken
+    print(f'{name}: {len(outcome.passed)} passed, {red} failed', flush=True)
+    if red:
+        print(outcome.output, flush=True)
 
 
 def _sort(features: list) -> tuple[list[str], list[str]]:
@@ -54,19 +132,20 @@
     return passed, failed
 
 
-def _verdict(passed: list[str], failed: list[str], broken: bool) -> int:
+def _verdict(outcomes: list[FeatureOutcome]) -> int:
     known = known_red()
+    passed = [name for outcome in outcomes for name in outcome.passed]
+    failed = [name for outcome in outcomes for name in outcome.failed]
     red = [name for name in failed if name not in known]
-    for name in failed:
-        print(f'{"known red" if name in known else "red"}: {name}')
-    for name in known.intersection(passed):
+    red += [f'the whole of {o.path}' for o in outcomes if o.broken]
+    for name in sorted(known.intersection(failed)):
+        print(f'known red: {name}')
+    for name in sorted(known.intersection(passed)):
         print(f'known red has turned green, take it off the list: {name}')
-    only_known = bool(failed) and not red
-    if not passed or (broken and not only_known and not red):
-        print('the run itself broke; see above')
-        red.append('run')
+    for name in red:
+        print(f'red: {name}')
     print(f'scenarios: {len(passed)} passed, {len(red)} failed')
-    return 1 if red else 0
+    return 0 if passed and not red else 1
 
 
 if __name__ == '__main__':
