--- a/standins/checkers.py
+++ b/standins/checkers.py
@@ -128,6 +128,17 @@
             yield call.request_id, 'was answered, yet never ran'
 
 
+@_checker('nothing_dropped')
+def _nothing_dropped(history):
+    if not history.connections_kept:
+        return
+    for record in [*history.streams, *history.calls]:
+        if record.outcome == 'cut':
+            waited_ms = record.ended_ms - record.started_ms
+            reason = f'told nothing for {waited_ms:.0f} ms'
+            yield record.request_id, reason
+
+
 @_checker('leavers_get_nothing_new')
 def _leavers_get_nothing_new(history):
     begun = [(g.engine, g.generation, g.at_ms) for g in history.generations]
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -195,6 +195,8 @@
         )
         self.generations[generation] = started
         self.waiting.append(started)
+        if self.step_ends_ms is None:
+            self._begin_step(now_ms)
         return started
 
     def _output(
--- a/standins/history.py
+++ b/standins/history.py
@@ -125,6 +125,7 @@
         accepted: Time at which each config version was accepted.
         drained: Exit codes of the VMs that were told to drain.
         cut_by_drain: Requests whose connection a draining VM cut.
+        connections_kept: Whether no fault touched a caller's connection.
     """
 
     streams: list[StreamRecord] = []
@@ -136,3 +137,4 @@
     accepted: dict[str, float] = {}
     drained: dict[str, int] = {}
     cut_by_drain: list[str] = []
+    connections_kept: bool = False
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -137,6 +137,7 @@
         history = log.history
         history.streams = callers.streams
         history.calls = callers.calls
+        history.connections_kept = self._connections_kept()
         history.cut_by_drain = self._cut_by_drain(history, log)
         return history, log
 
@@ -216,10 +217,13 @@
                 return
             time.sleep(BALANCER_POLL_S)
 
+    def _connections_kept(self) -> bool:
+        return faults.HARMLESS_TO_CONNECTIONS.issuperset(self.names)
+
     def _cut_by_drain(
         self, history: histories.History, log: recorder.Recorder
     ) -> list[str]:
-        if set(self.names) - faults.HARMLESS_TO_CONNECTIONS:
+        if not self._connections_kept():
             return []
         cut = [
             (stream.request_id, cut.vm, cut.at_ms, cut.reason)
