--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,13 @@
 features: $(VENV)/.installed
 	@echo "==> features"
 	$(RUN) -m tests.run
+
+MINUTES ?= 5
+SEED ?= 1
+
+.PHONY: soak controls
+soak: $(VENV)/.installed
+	$(RUN) -m standins.soak --minutes $(MINUTES) --seed $(SEED)
+
+controls: $(VENV)/.installed
+	$(RUN) -m tests.system.controls
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -17,7 +17,7 @@
 from eelgrassknot import states
 from standins import processes
 
-__all__ = ['Cluster', 'Shape', 'Upstream', 'shape_of']
+__all__ = ['Cluster', 'Shape', 'Upstream', 'shape_of', 'smaller']
 
 HOST = '127.0.0.1'
 AUTHOR = 'harness'
@@ -94,6 +94,12 @@
     )
 
 
+def smaller(shape: Shape) -> Shape:
+    """Return a shape with one VM of each kind in each zone."""
+    one = dict.fromkeys(shape.entry_vms, 1)
+    return dataclasses.replace(shape, entry_vms=one, engines=one, plains=one)
+
+
 class Cluster:
     """Starts, harms and ends the processes of a deployment.
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -33,7 +33,8 @@
 def main() -> None:
     """Show the system at work; exit 0 if nothing was lost or doubled."""
     _say('starting the stand-ins and three daemons on loopback')
-    with clusters.Cluster(_shape(), DIRECTORY, seed=1) as cluster:
+    shape = clusters.smaller(clusters.shape_of('nadroga'))
+    with clusters.Cluster(shape, DIRECTORY, seed=1) as cluster:
         cluster.wait_ready()
         for vm, settings in cluster.settings.items():
             zone = settings.availability_zone
@@ -48,18 +49,6 @@
     raise typer.Exit(1 if violations else code)
 
 
-def _shape() -> clusters.Shape:
-    whole = clusters.shape_of('nadroga')
-    zones = list(whole.entry_vms)
-    return clusters.Shape(
-        whole.deployment,
-        dict.fromkeys(zones, 1),
-        dict.fromkeys(zones, 1),
-        dict.fromkeys(zones, 1),
-        zone_delay_ms=whole.zone_delay_ms,
-    )
-
-
 def _show(cluster: clusters.Cluster) -> histories.History:
     entry_points = [
         load.EntryPoint(vm, settings.listen.callers)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,6 +17,7 @@
 RECLAIM_NOTICE_S = 2.5
 DRAIN_TIMEOUT_S = 60.0
 SLOWDOWN = 6.0
+PLAIN_PROBABILITY = 0.3
 
 Heal = collections.abc.Callable[[], None]
 
@@ -259,18 +260,25 @@
     return lambda: scene.cluster.control(upstream.child, {'stalled': False})
 
 
-@_fault('plain_answers', harmless=True)
-def _plain_answers(scene: Scene) -> Heal:
-    kind = scene.generator.choice(('crossed', 'late', 'closed', 'failed'))
-    scene.log.note(f'a third of the plain answers: {kind}')
-    for plain in scene.plains():
-        scene.cluster.control(plain.child, {kind: {'probability': 0.3}})
-
-    def heal() -> None:
+def _plain_answers(kind: str) -> Fault:
+    def fault(scene: Scene) -> Heal:
+        scene.log.note(f'a third of the plain answers: {kind}')
         for plain in scene.plains():
-            scene.cluster.control(plain.child, {kind: {'probability': 0.0}})
+            struck = {kind: {'probability': PLAIN_PROBABILITY}}
+            scene.cluster.control(plain.child, struck)
 
-    return heal
+        def heal() -> None:
+            for plain in scene.plains():
+                kept = {kind: {'probability': 0.0}}
+                scene.cluster.control(plain.child, kept)
+
+        return heal
+
+    return fault
+
+
+for _kind in ('crossed', 'late', 'closed', 'failed'):
+    _fault(f'plain_{_kind}', harmless=True)(_plain_answers(_kind))
 
 
 def _restart(scene: Scene, vm: str) -> None:
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -16,15 +16,8 @@
 from standins import history as histories
 from standins import recorder
 
-__all__ = ['Round', 'Verdict', 'run_round']
-
-STREAM_CALLERS = 14
-PLAIN_CALLERS = 8
-WARM_UP_S = 1.5
-SECOND_FAULT_S = 2.0
-MIN_HOLD_S = 2.0
-MAX_HOLD_S = 4.5
-RECOVERY_S = 2.5
+__all__ = ['BRIEF', 'Pace', 'Round', 'Verdict', 'run_round']
+
 PATHS = {
     'nadroga': ('/availability', '/bookings'),
     'lagotermica': ('/stock', '/confirmations'),
@@ -32,6 +25,32 @@
 BALANCER_POLL_S = 0.3
 
 
+@dataclasses.dataclass(frozen=True)
+class Pace:
+    """How much load a round has, and how long its parts last."""
+
+    stream_callers: int = 14
+    plain_callers: int = 8
+    warm_up_s: float = 1.5
+    second_fault_s: float = 2.0
+    min_hold_s: float = 3.0
+    max_hold_s: float = 4.5
+    recovery_s: float = 3.5
+    mean_tokens: int = 60
+
+
+BRIEF = Pace(
+    stream_callers=8,
+    plain_callers=5,
+    warm_up_s=0.5,
+    second_fault_s=0.5,
+    min_hold_s=1.5,
+    max_hold_s=1.5,
+    recovery_s=1.0,
+    mean_tokens=40,
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Verdict:
     """What came of a round."""
@@ -65,6 +84,8 @@
         names: Faults to use in place of drawn ones.
         daemon_module: Module that is run as the daemon.
         deployment: Deployment to use in place of a drawn one.
+        pace: How much load and for how long.
+        is_small: Whether each zone has one VM of each kind.
     """
 
     def __init__(
@@ -74,7 +95,10 @@
         names: tuple[str, ...] = (),
         daemon_module: str = clusters.DAEMON_MODULE,
         deployment: str = '',
+        pace: Pace = Pace(),
+        is_small: bool = False,
     ) -> None:
+        self.pace = pace
         self.seed = seed
         self.directory = directory / f'round-{seed}'
         self.generator = random.Random(seed)
@@ -83,7 +107,8 @@
         count = self.generator.choice((1, 2))
         drawn_names = self.generator.sample(sorted(faults.FAULTS), count)
         self.names = tuple(names or drawn_names)
-        self.shape = clusters.shape_of(self.deployment, daemon_module)
+        shape = clusters.shape_of(self.deployment, daemon_module)
+        self.shape = clusters.smaller(shape) if is_small else shape
 
     def run(self) -> Verdict:
         """Run the round and check its history."""
@@ -118,19 +143,19 @@
             self._mix(cluster), self._entry_points(cluster), self.seed
         )
         log.start()
-        callers.start(STREAM_CALLERS, PLAIN_CALLERS)
-        self._pause(cluster, callers, WARM_UP_S)
+        callers.start(self.pace.stream_callers, self.pace.plain_callers)
+        self._pause(cluster, callers, self.pace.warm_up_s)
         self._change_text(cluster, log)
         heals = self._harm(cluster, callers, log)
         self._pause(
             cluster,
             callers,
-            self.generator.uniform(MIN_HOLD_S, MAX_HOLD_S),
+            self.generator.uniform(self.pace.min_hold_s, self.pace.max_hold_s),
         )
         for name, heal in heals:
             log.note(f'heal {name}')
             heal()
-        self._pause(cluster, callers, RECOVERY_S)
+        self._pause(cluster, callers, self.pace.recovery_s)
         callers.stop()
         self._await_text(cluster, log)
         log.stop()
@@ -152,6 +177,7 @@
             lookup,
             booking,
             tuple(cluster.account_keys.values()),
+            mean_tokens=self.pace.mean_tokens,
         )
 
     def _entry_points(
@@ -193,7 +219,7 @@
         heals = []
         for number, name in enumerate(self.names):
             if number:
-                pause_s = self.generator.uniform(0.0, SECOND_FAULT_S)
+                pause_s = self.generator.uniform(0.0, self.pace.second_fault_s)
                 self._pause(cluster, callers, pause_s)
             generator = random.Random(f'{self.seed}/{name}')
             scene = faults.Scene(cluster, log, generator)
--- /dev/null
+++ b/tests/system/controls.py
@@ -0,0 +1,65 @@
+"""Runs one round with each broken daemon and tells what caught it.
+
+Run as ``python -m tests.system.controls``; exits 1 if a defect escapes.
+"""
+
+import os
+import pathlib
+import sys
+
+from standins import rounds
+from tests.system import broken_daemon
+
+__all__ = ['CONTROLS', 'main', 'run_control']
+
+DIRECTORY = pathlib.Path('run/controls')
+MODULE = 'tests.system.broken_daemon'
+SEED = 4
+FULL_PACE = rounds.Pace()
+
+# The faults that bring each defect out, and the checkers that see it.
+CONTROLS = {
+    'repeat_tokens': (('platform_slow',), 'tokens_once_in_order'),
+    'omit_tokens': (('platform_slow',), 'tokens_once_in_order'),
+    'repeat_calls': (('platform_slow',), 'at_most_once'),
+    'lie_not_run': (('plain_closed',), 'not_run_never_ran'),
+    'end_at_once': (('daemon_drained',), 'drain_cuts_nothing'),
+    'ignore_leaving': (('engine_leaving',), 'leavers_get_nothing_new'),
+    'revert_config': (('platform_slow',), 'config_never_falls'),
+}
+
+
+def run_control(
+    defects: tuple[str, ...],
+    faults: tuple[str, ...],
+    pace: rounds.Pace = FULL_PACE,
+    is_small: bool = False,
+) -> set[str]:
+    """Run a round with broken daemons; return the checkers that fired."""
+    os.environ[broken_daemon.VARIABLE] = ','.join(defects)
+    try:
+        one = rounds.Round(
+            SEED, DIRECTORY, faults, MODULE, 'nadroga', pace, is_small
+        )
+        return {v.checker for v in one.run().violations}
+    finally:
+        del os.environ[broken_daemon.VARIABLE]
+
+
+def main() -> int:
+    """Run all controls."""
+    escaped = 0
+    for defect, (faults, checker) in CONTROLS.items():
+        fired = run_control((defect,), faults)
+        word = 'caught' if checker in fired else 'escaped'
+        escaped += checker not in fired
+        print(
+            f'control defect={defect} faults={"+".join(faults)} '
+            f'{word} by={",".join(sorted(fired))}',
+            flush=True,
+        )
+    return 1 if escaped else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/system/rounds.feature
@@ -0,0 +1,23 @@
+Feature: Fault rounds with real processes
+
+  Scenario Outline: the invariants hold through a round
+    When a small round of <deployment> with seed <seed> meets <faults>
+    Then no checker finds a violation
+    And streams and calls were answered
+
+    Examples:
+      | deployment  | seed | faults                         |
+      | nadroga     | 11   | daemon_killed,plain_closed     |
+      | lagotermica | 12   | daemon_drained,engine_killed   |
+      | nadroga     | 13   | zone_partition,plain_crossed   |
+
+  Scenario: a daemon that breaks the invariants is caught by every checker
+    When a small round runs with daemons that have all defects
+    Then these checkers find violations:
+      | checker              |
+      | tokens_once_in_order |
+      | whole_answer         |
+      | at_most_once         |
+      | not_run_never_ran    |
+      | drain_cuts_nothing   |
+      | config_never_falls   |
