--- a/eelgrassknot/reporting/part.py
+++ b/eelgrassknot/reporting/part.py
@@ -11,6 +11,8 @@
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
 from eelgrassknot import logs
+from eelgrassknot.reporting import merge
+from eelgrassknot.reporting import messages
 from eelgrassknot.reporting import object_names
 from eelgrassknot.reporting import pending
 from eelgrassknot.reporting import recorder
@@ -58,6 +60,7 @@
             ),
             self.wall_clock.now_ms(),
         )
+        self.first_started_ms = self.recorder.started_ms
         self.pending = pending.PendingParts()
         self.counts = WriteCounts()
         self.stopped = threading.Event()
@@ -99,6 +102,16 @@
             }
         }
 
+    def document(self) -> messages.Report:
+        """Return the report on what this process has seen so far."""
+        now = self.recorder.totals()
+        wanted = messages.ReportFilter(
+            self.first_started_ms, int(self.wall_clock.now_ms())
+        )
+        merger = merge.Merger(wanted)
+        merger.add_rows(now.services.values())
+        return merger.report(())
+
     def write_interval(self) -> None:
         """End the present interval and write all that waits."""
         self._close_interval()
