--- /dev/null
+++ b/benchmarks/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of what the report costs a node."""
--- a/eelgrassknot/reporting/part.py
+++ b/eelgrassknot/reporting/part.py
@@ -3,7 +3,6 @@
 import dataclasses
 import threading
 
-import msgspec
 import result
 
 from eelgrassknot import clock as clocks
@@ -133,7 +132,7 @@
         self.pending.add(self.recorder.close_interval(now_ms, final))
 
     def _write(self, part: rows.IntervalPart) -> bool:
-        body = msgspec.msgpack.encode(part)
+        body = rows.encode(part)
         key = object_names.name_of(part)
         match self.node.platform.objects.put(key, body):
             case result.Ok(_):
--- a/eelgrassknot/reporting/reader.py
+++ b/eelgrassknot/reporting/reader.py
@@ -3,9 +3,9 @@
 import collections.abc
 import concurrent.futures
 
-import msgspec
 import result
 
+from eelgrassknot import exceptions
 from eelgrassknot import ids
 from eelgrassknot.platforms import base as platform_base
 from eelgrassknot.reporting import coverage
@@ -76,7 +76,7 @@
     match body:
         case result.Ok(bytes(document)):
             try:
-                return msgspec.msgpack.decode(document, type=rows.IntervalPart)
-            except msgspec.MsgspecError:
+                return rows.decode(document)
+            except exceptions.MalformedAnswerError:
                 return None
     return None
--- a/eelgrassknot/reporting/rows.py
+++ b/eelgrassknot/reporting/rows.py
@@ -2,17 +2,28 @@
 
 import collections.abc
 import typing
+import zlib
 
 import msgspec
 
+from eelgrassknot import exceptions
 from eelgrassknot import ids
 from eelgrassknot.reporting import names
 from eelgrassknot.reporting import sketch
 
-__all__ = ['IntervalPart', 'Row', 'RowKey', 'RowSet', 'combine']
+__all__ = [
+    'IntervalPart',
+    'Row',
+    'RowKey',
+    'RowSet',
+    'combine',
+    'decode',
+    'encode',
+]
 
 MAX_ROWS = 4_600
 MAX_REASONS = 32
+COMPRESSION_LEVEL = 6
 
 Counts = dict[str, int]
 
@@ -197,3 +208,23 @@
         folded_requests=folded + merged.folded_requests,
         rows=tuple(merged.rows.values()),
     )
+
+
+def encode(part: IntervalPart) -> bytes:
+    """Return a part as the body of an object."""
+    return zlib.compress(msgspec.msgpack.encode(part), COMPRESSION_LEVEL)
+
+
+def decode(body: bytes) -> IntervalPart:
+    """Return the part in the body of an object.
+
+    Raises:
+        MalformedAnswerError: If the body is not what ``encode`` writes.
+    """
+    try:
+        return msgspec.msgpack.decode(zlib.decompress(body), type=IntervalPart)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise exceptions.MalformedAnswerError(
+            f'an object of the report cannot be read: {error}',
+            'check which version of the program wrote the object',
+        ) from error
