--- a/eelgrassknot/reporting/part.py
+++ b/eelgrassknot/reporting/part.py
@@ -20,6 +20,9 @@
 __all__ = ['ReportPart']
 
 FINAL_WRITES = 3
+DELETION_PERIOD_MS = 3_600_000
+MAX_DELETIONS = 200
+MS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass
@@ -124,8 +127,16 @@
 
     def _run(self) -> None:
         self.write_interval()
-        while not self.stopped.wait(self.interval_ms / 1000):
+        next_ms = self._next_deletion_ms()
+        while not self.stopped.wait(self.interval_ms / MS_PER_SECOND):
             self.write_interval()
+            if self.node.clock.now_ms() >= next_ms:
+                self.delete_expired()
+                next_ms = self._next_deletion_ms()
+
+    def _next_deletion_ms(self) -> float:
+        spread = self.node.generator.uniform(0.5, 1.5)
+        return self.node.clock.now_ms() + spread * DELETION_PERIOD_MS
 
     def _close_interval(self, final: bool = False) -> None:
         now_ms = self.wall_clock.now_ms()
@@ -145,6 +156,27 @@
                 logs.warning('report_not_written', reason=error.message)
         return False
 
+    def delete_expired(self) -> None:
+        """Delete some objects that are older than the text allows.
+
+        All VMs do so, each at its own time of the hour and a bounded
+        number in its own order, so that they share the work unasked.
+        """
+        if self.node.text is None:
+            return
+        objects = self.node.platform.objects
+        now_ms = self.wall_clock.now_ms()
+        days = self.node.text.retention.report_days
+        left = MAX_DELETIONS
+        for prefix in object_names.expired_prefixes(now_ms, days):
+            keys = objects.list_keys(prefix).unwrap_or([])[:]
+            self.node.generator.shuffle(keys)
+            for key in keys[:left]:
+                objects.delete(key)
+            left -= len(keys[:left])
+            if not left:
+                return
+
     def _adopt(self, event: events.ConfigAdopted) -> None:
         price = event.text.region_link.price_per_gigabyte
         self.recorder.price_per_gigabyte = price
--- a/tests/reporting/coverage.feature
+++ b/tests/reporting/coverage.feature
@@ -58,3 +58,10 @@
     When the VM records one generation of each of 5000 accounts
     Then the metrics count 5000 requests done
     And at most 4601 client accounts stand in the metrics
+
+  Scenario: objects are deleted once the text's days are over, and no sooner
+    When the VM records 1 requests an interval for 3 intervals
+    And 90 days go by
+    And the VM records 1 requests an interval for 1 intervals
+    Then deleting by a text that keeps 91.0 days leaves 5 objects
+    And deleting by a text that keeps 89.9 days leaves 1 objects
--- a/tests/steps/reporting_coverage.py
+++ b/tests/steps/reporting_coverage.py
@@ -1,5 +1,6 @@
 """Steps on writing the report's parts and finding missing ones."""
 
+import random
 import types
 
 import behave
@@ -17,6 +18,7 @@
 from tests import reporting_facts
 
 MS = 1_000
+MS_PER_DAY = 86_400_000
 
 
 class MemoryObjects:
@@ -39,6 +41,10 @@
     def get(self, key):
         return result.Ok(self.bodies.get(key))
 
+    def delete(self, key):
+        self.bodies.pop(key, None)
+        return result.Ok(None)
+
     def list_keys(self, prefix):
         return result.Ok([k for k in self.bodies if k.startswith(prefix)])
 
@@ -239,3 +245,23 @@
     lines = exposed(context).splitlines()
     name = 'eelgrassknot_account_requests_total{'
     assert len([line for line in lines if line.startswith(name)]) <= count
+
+
+@behave.when('{days:d} days go by')
+def days_go_by(context, days):
+    context.clock.advance_ms(days * MS_PER_DAY)
+    # The interval that ends now began before.
+    context.part.recorder.close_interval(context.clock.now_ms())
+
+
+@behave.then(
+    'deleting by a text that keeps {days:f} days leaves {count:d} objects'
+)
+def deleting_leaves(context, days, count):
+    node = context.part.node
+    node.generator = random.Random(1)
+    node.text = types.SimpleNamespace(
+        retention=types.SimpleNamespace(report_days=days)
+    )
+    context.part.delete_expired()
+    assert len(context.objects.bodies) == count, context.objects.bodies
