--- a/eelgrassknot/reporting/part.py
+++ b/eelgrassknot/reporting/part.py
@@ -3,7 +3,6 @@
 import dataclasses
 import threading
 
-import msgspec
 import result
 
 from eelgrassknot import clock as clocks
@@ -11,6 +10,8 @@
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
 from eelgrassknot import logs
+from eelgrassknot.reporting import merge
+from eelgrassknot.reporting import messages
 from eelgrassknot.reporting import object_names
 from eelgrassknot.reporting import pending
 from eelgrassknot.reporting import recorder
@@ -19,6 +20,9 @@
 __all__ = ['ReportPart']
 
 FINAL_WRITES = 3
+DELETION_PERIOD_MS = 3_600_000
+MAX_DELETIONS = 200
+MS_PER_SECOND = 1000
 
 
 @dataclasses.dataclass
@@ -58,6 +62,7 @@
             ),
             self.wall_clock.now_ms(),
         )
+        self.first_started_ms = self.recorder.started_ms
         self.pending = pending.PendingParts()
         self.counts = WriteCounts()
         self.stopped = threading.Event()
@@ -99,6 +104,16 @@
             }
         }
 
+    def document(self) -> messages.Report:
+        """Return the report on what this process has seen so far."""
+        now = self.recorder.totals()
+        wanted = messages.ReportFilter(
+            self.first_started_ms, int(self.wall_clock.now_ms())
+        )
+        merger = merge.Merger(wanted)
+        merger.add_rows(now.services.values())
+        return merger.report(())
+
     def write_interval(self) -> None:
         """End the present interval and write all that waits."""
         self._close_interval()
@@ -112,15 +127,23 @@
 
     def _run(self) -> None:
         self.write_interval()
-        while not self.stopped.wait(self.interval_ms / 1000):
+        next_ms = self._next_deletion_ms()
+        while not self.stopped.wait(self.interval_ms / MS_PER_SECOND):
             self.write_interval()
+            if self.node.clock.now_ms() >= next_ms:
+                self.delete_expired()
+                next_ms = self._next_deletion_ms()
+
+    def _next_deletion_ms(self) -> float:
+        spread = self.node.generator.uniform(0.5, 1.5)
+        return self.node.clock.now_ms() + spread * DELETION_PERIOD_MS
 
     def _close_interval(self, final: bool = False) -> None:
         now_ms = self.wall_clock.now_ms()
         self.pending.add(self.recorder.close_interval(now_ms, final))
 
     def _write(self, part: rows.IntervalPart) -> bool:
-        body = msgspec.msgpack.encode(part)
+        body = rows.encode(part)
         key = object_names.name_of(part)
         match self.node.platform.objects.put(key, body):
             case result.Ok(_):
@@ -133,6 +156,27 @@
                 logs.warning('report_not_written', reason=error.message)
         return False
 
+    def delete_expired(self) -> None:
+        """Delete some objects that are older than the text allows.
+
+        All VMs do so, each at its own time of the hour and a bounded
+        number in its own order, so that they share the work unasked.
+        """
+        if self.node.text is None:
+            return
+        objects = self.node.platform.objects
+        now_ms = self.wall_clock.now_ms()
+        days = self.node.text.retention.report_days
+        left = MAX_DELETIONS
+        for prefix in object_names.expired_prefixes(now_ms, days):
+            keys = objects.list_keys(prefix).unwrap_or([])[:]
+            self.node.generator.shuffle(keys)
+            for key in keys[:left]:
+                objects.delete(key)
+            left -= len(keys[:left])
+            if not left:
+                return
+
     def _adopt(self, event: events.ConfigAdopted) -> None:
         price = event.text.region_link.price_per_gigabyte
         self.recorder.price_per_gigabyte = price
