--- a/eelgrassknot/coordination/digest_part.py
+++ b/eelgrassknot/coordination/digest_part.py
@@ -67,11 +67,8 @@
             return self.digest.take(budget_bytes, now_ms)
 
     def _announce(self, now_ms: float) -> None:
-        announce = getattr(self.dispatch.dispatcher, 'announcement', None)
-        if announce is None:
-            return
         with self.dispatch.lock:
-            announcement = announce(now_ms)
+            announcement = self.dispatch.dispatcher.announcement(now_ms)
         held = {
             share.upstream: (share.running, share.expected_tokens)
             for share in announcement.upstreams
@@ -266,8 +263,7 @@
                     self.dispatch.tell(
                         policy_messages.DigestReceived(vm, info.upstream, 0, 0)
                     )
-        if hasattr(policy_messages, 'EntryVmsKnown'):
-            self.dispatch.tell(policy_messages.EntryVmsKnown(event.count))
+        self.dispatch.tell(policy_messages.EntryVmsKnown(event.count))
 
 
 def _average(
