--- /dev/null
+++ b/benchmarks/policy/decision_cost.py
@@ -0,0 +1,131 @@
+"""What a decision costs in processor time."""
+
+import dataclasses
+import random
+import time
+
+from benchmarks.policy import targets
+from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot.policy import dispatcher
+from eelgrassknot.policy import messages
+from eelgrassknot import states
+
+__all__ = ['Cost', 'checks', 'measure', 'render']
+
+BOUNDS_US = {10: 50.0, 450: 200.0}
+DECISIONS = 2_000
+ROUNDS = 5
+RUNNING = 60
+TOTAL_TOKENS = 64_000
+LIVE = states.UpstreamState.LIVE
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """Time of a decision.
+
+    Attributes:
+        engines: Candidate engines.
+        decision_us: Time from a request's arrival to its dispatch.
+        end_us: Time for the end of a request.
+    """
+
+    engines: int
+    decision_us: float
+    end_us: float
+
+
+def measure() -> list[Cost]:
+    """Return the lowest of several rounds for each number of engines."""
+    return [_measure_one(engines) for engines in BOUNDS_US]
+
+
+def checks(costs: list[Cost]) -> list[targets.Check]:
+    """Return the checks of the stated bounds."""
+    return [
+        targets.Check(
+            f'decision at {cost.engines} engines, us',
+            cost.decision_us,
+            BOUNDS_US[cost.engines],
+        )
+        for cost in costs
+    ]
+
+
+def render(costs: list[Cost]) -> str:
+    """Return the costs as text."""
+    lines = ['', '## Cost of a decision']
+    for cost in costs:
+        lines.append(
+            f'{cost.engines:4} engines: {cost.decision_us:6.1f} us a '
+            f'decision, {cost.end_us:6.1f} us an end'
+        )
+    return '\n'.join(lines)
+
+
+def _measure_one(engines: int) -> Cost:
+    decider = _prepared(engines)
+    decisions = []
+    ends = []
+    for number in range(ROUNDS):
+        names = [f'{number}/{index}' for index in range(DECISIONS)]
+        events = [messages.RequestArrived(_profile(n)) for n in names]
+        took = 0.0
+        took_end = 0.0
+        for name, event in zip(names, events):
+            started = time.process_time()
+            actions = decider.handle(event, 1_000.0 + number)
+            took += time.process_time() - started
+            assert isinstance(actions[0], messages.Dispatch)
+            ended = messages.RequestEnded(name, False)
+            started = time.process_time()
+            decider.handle(ended, 1_000.0 + number)
+            took_end += time.process_time() - started
+        decisions.append(took / DECISIONS * 1e6)
+        ends.append(took_end / DECISIONS * 1e6)
+    return Cost(engines, min(decisions), min(ends))
+
+
+def _prepared(engines: int) -> dispatcher.Dispatcher:
+    decider = dispatcher.Dispatcher('z', 'r', random.Random(1))
+    infos = tuple(
+        kernel_events.UpstreamInfo(
+            f'e{index}',
+            'writer',
+            states.ServiceKind.ENGINE,
+            '127.0.0.1:1',
+            'z',
+            'r',
+            LIVE,
+        )
+        for index in range(engines)
+    )
+    decider.handle(messages.UpstreamsKnown(infos), 0.0)
+    for info in infos:
+        load = messages.EngineLoad(
+            info.upstream, 0.0, 30_000, TOTAL_TOKENS, 20, 0, 0, LIVE
+        )
+        decider.handle(messages.LoadReported(load), 0.0)
+        digest = messages.DigestReceived(
+            'peer', info.upstream, 18, 26_000, 28_000
+        )
+        decider.handle(digest, 900.0)
+    for index in range(RUNNING):
+        profile = _profile(f'running/{index}')
+        decider.handle(messages.RequestArrived(profile), 950.0)
+    return decider
+
+
+def _profile(name: str) -> messages.RequestProfile:
+    prefixes = tuple(f'{name}/{index}' for index in range(12))
+    return messages.RequestProfile(
+        name,
+        'writer',
+        states.ServiceKind.ENGINE,
+        f'account-{len(name) % 3}',
+        states.Priority.INTERACTIVE,
+        800,
+        prefixes,
+        None,
+        None,
+    )
--- a/benchmarks/policy/measures.py
+++ b/benchmarks/policy/measures.py
@@ -10,7 +10,7 @@
 import collections
 import dataclasses
 
-__all__ = ['Figures', 'Measures']
+__all__ = ['Figures', 'Measures', 'mean_figures']
 
 GAP_QUANTILES = (0.5, 0.95, 0.99, 0.999)
 FIRST_QUANTILES = (0.5, 0.95, 0.99)
@@ -172,6 +172,24 @@
             self.good_tokens += fresh
 
 
+def mean_figures(several: list[Figures]) -> Figures:
+    """Return the mean of the figures of runs that differ in their seed."""
+    fields = {
+        field.name: _mean([getattr(one, field.name) for one in several])
+        for field in dataclasses.fields(Figures)
+    }
+    return Figures(**fields)
+
+
+def _mean(values: list):
+    if isinstance(values[0], tuple):
+        return tuple(_mean(list(column)) for column in zip(*values))
+    if isinstance(values[0], dict):
+        names = sorted({name for value in values for name in value})
+        return {n: _mean([v.get(n, 0) for v in values]) for n in names}
+    return sum(values) / len(values)
+
+
 def _quantile(values: list[float], part: float) -> float:
     if not values:
         return 0.0
--- /dev/null
+++ b/benchmarks/policy/plan.py
@@ -0,0 +1,163 @@
+"""Which runs the benchmark makes."""
+
+import dataclasses
+
+from benchmarks.policy import baselines
+from benchmarks.policy import workload
+from benchmarks.policy import world
+from eelgrassknot.policy import placement
+
+__all__ = ['LOADS', 'OURS', 'POLICIES', 'Plan', 'Run', 'capacity_scenario']
+
+OURS = 'eelgrassknot'
+POLICIES = (*baselines.BASELINES, 'oracle', OURS)
+LOADS = (0.6, 0.85, 1.0, 1.2)
+SPAN_MS = 300_000.0
+FROM_MS = 80_000.0
+SATURATING_RATE_PER_S = 30.0
+FLOOD_FACTOR = 8.0
+FLOOD_ACCOUNT = 'account-0'
+SEEDS = (1, 2)
+MIDDLE_MS = 160_000.0
+
+DISTURBANCES = {
+    'engine lost': world.Disturbance(lost_at_ms=MIDDLE_MS),
+    'engine at a third': world.Disturbance(slow_at_ms=120_000.0),
+    'reports 5 s old': world.Disturbance(report_lag_ms=5_000.0),
+    'half the cache events': world.Disturbance(cache_events_lost=0.5),
+    'longer outputs': world.Disturbance(shift_at_ms=MIDDLE_MS),
+}
+
+ABLATIONS = {
+    'forecast': {'forecast': False},
+    'quantile': {'quantile': False},
+    'affinity': {'affinity': False},
+    'digests': {'digests': False},
+    'feedback': {'feedback': False},
+    'ejection': {'ejection': False},
+    'fairness': {'fairness': False},
+    'long-prompt lane': {'lane': False},
+    'more than two sampled': {'sampled': 2},
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One run of the benchmark.
+
+    Attributes:
+        part: Table in which it stands.
+        label: Its line there.
+        load: Share of capacity.
+    """
+
+    part: str
+    label: str
+    load: float
+    scenario: world.Scenario
+
+
+class Plan:
+    """All runs, and the capacity that their rates follow from.
+
+    Args:
+        capacities: Requests a second that each deployment can serve, by
+            (deployment, seed).
+
+    Attributes:
+        runs: The runs, the slow ones first.
+    """
+
+    def __init__(self, capacities: dict[tuple[str, int], float]) -> None:
+        self.capacities = capacities
+        self.runs: list[Run] = []
+        for name in workload.DEPLOYMENTS:
+            self._loads(name)
+            self._objectives(name)
+        self._disturbances('nadroga')
+        self._flood('nadroga')
+        self._ablations('nadroga')
+        self.runs.sort(key=lambda run: run.scenario.policy != OURS)
+
+    def _add(
+        self,
+        part: str,
+        label: str,
+        name: str,
+        policy: str,
+        load: float,
+        **more,
+    ) -> None:
+        for seed in SEEDS:
+            rate_per_s = self.capacities[name, seed] * load
+            scenario = world.Scenario(
+                name, policy, rate_per_s, SPAN_MS, FROM_MS, seed, **more
+            )
+            self.runs.append(Run(part, label, load, scenario))
+
+    def _loads(self, name: str) -> None:
+        for load in LOADS:
+            for policy in POLICIES:
+                self._add(name, policy, name, policy, load)
+
+    def _objectives(self, name: str) -> None:
+        for other, deployment in workload.DEPLOYMENTS.items():
+            self._add(
+                f'{name}, weights of',
+                other,
+                name,
+                OURS,
+                1.0,
+                objective=deployment.objective,
+            )
+
+    def _disturbances(self, name: str) -> None:
+        for label, disturbance in DISTURBANCES.items():
+            for policy in POLICIES:
+                self._add(
+                    f'{name}, {label}',
+                    policy,
+                    name,
+                    policy,
+                    0.85,
+                    disturbance=disturbance,
+                )
+
+    def _flood(self, name: str) -> None:
+        flood = world.Disturbance(
+            flood_account=FLOOD_ACCOUNT, flood_factor=FLOOD_FACTOR
+        )
+        for policy in ('two-choices', OURS):
+            self._add(
+                f'{name}, one account floods',
+                policy,
+                name,
+                policy,
+                0.85,
+                disturbance=flood,
+            )
+
+    def _ablations(self, name: str) -> None:
+        for label, changes in ABLATIONS.items():
+            options = placement.PlacementOptions(**changes)
+            self._add(
+                f'{name}, without',
+                label,
+                name,
+                OURS,
+                1.0,
+                options=options,
+            )
+
+
+def capacity_scenario(name: str, seed: int) -> world.Scenario:
+    """Return the run that finds out a deployment's capacity."""
+    return world.Scenario(
+        name,
+        'oracle',
+        SATURATING_RATE_PER_S,
+        SPAN_MS,
+        FROM_MS,
+        seed,
+        saturate=True,
+    )
--- a/eelgrassknot/policy/dispatcher.py
+++ b/eelgrassknot/policy/dispatcher.py
@@ -117,7 +117,7 @@
             case messages.LoadReported(load):
                 return self._reported(load, now_ms)
             case messages.UpstreamFailed(upstream):
-                self.book.failed(upstream, now_ms)
+                self._failed(upstream, now_ms)
             case _:
                 return self._told(event, now_ms)
         return []
@@ -231,6 +231,12 @@
         pool.end(request, complete, now_ms)
         return self._settled(pool.pump(now_ms))
 
+    def _failed(self, upstream: ids.UpstreamId, now_ms: float) -> None:
+        self.book.failed(upstream, now_ms)
+        for pool in self.pools.values():
+            if upstream in pool.views:
+                pool.forget_usable()
+
     def _cancelled(self, request: ids.RequestId) -> None:
         profile = self.profiles.get(request)
         if profile is None or profile.service not in self.pools:
--- a/eelgrassknot/policy/engine_pool.py
+++ b/eelgrassknot/policy/engine_pool.py
@@ -1,5 +1,6 @@
 """Decisions on the engines of one service."""
 
+import math
 import random
 
 from eelgrassknot import ids
@@ -24,6 +25,7 @@
 BATCH_PATIENCE_MS = 300_000.0
 DEFAULT_RETRY_AFTER_MS = 1_000.0
 REFRESH_INTERVAL_MS = 250.0
+USABLE_KEPT_MS = 50.0
 FEEDBACK_INTERVAL_MS = 1_000.0
 
 
@@ -70,6 +72,8 @@
         self.max_tokens = services_text.DEFAULT_MAX_TOKENS
         self.withheld: frozenset = frozenset()
         self.refreshed_ms = 0.0
+        self.known_usable: dict[bool, list[engine_view.EngineView]] = {}
+        self.usable_until_ms = 0.0
         self.fed_back_ms = 0.0
 
     def configure(
@@ -79,12 +83,18 @@
         self.knobs = objective.knobs(service.objective)
         self.max_tokens = service.max_tokens
         self.withheld = withheld
+        self.forget_usable()
+
+    def forget_usable(self) -> None:
+        """Find out anew which engines may be used."""
+        self.usable_until_ms = -math.inf
 
     def know(
         self, infos: list[kernel_events.UpstreamInfo], now_ms: float
     ) -> None:
         """Take in the whole set of the service's engines."""
         fresh = bool(self.views)
+        self.forget_usable()
         named = {info.upstream for info in infos}
         for info in infos:
             view = self.views.get(info.upstream)
@@ -93,6 +103,8 @@
             else:
                 view.info = info
             self.book.ensure(info.upstream, now_ms, fresh)
+        near = [i.upstream for i in infos if i.region == self.region]
+        self.placement.lane.assign(near)
         for upstream in list(self.views):
             if upstream not in named:
                 del self.views[upstream]
@@ -103,7 +115,7 @@
         self, profile: messages.RequestProfile, now_ms: float
     ) -> list[messages.Action]:
         """Queue a request, or refuse it if it would wait too long."""
-        if not self._reachable():
+        if not self._usable(True, now_ms) and not self._usable(False, now_ms):
             return [
                 messages.Refuse(
                     profile.request,
@@ -132,8 +144,7 @@
     ) -> list[messages.Action]:
         """Place a request elsewhere, or queue it again."""
         self.end(profile.request, False, now_ms)
-        views = self._usable(True, now_ms)
-        views += self._usable(False, now_ms)
+        views = self._usable(True, now_ms) + self._usable(False, now_ms)
         others = [view for view in views if view.info.upstream != failed]
         action = self._place(profile, others, now_ms)
         if action is not None:
@@ -343,15 +354,19 @@
             self.link.spend(size, now_ms)
         return action
 
-    def _reachable(self) -> bool:
-        return any(
-            view.info.state is states.UpstreamState.LIVE
-            and view.info.upstream not in self.withheld
-            for view in self.views.values()
-        )
-
     def _usable(
         self, near: bool, now_ms: float
+    ) -> list[engine_view.EngineView]:
+        if now_ms >= self.usable_until_ms:
+            self.usable_until_ms = now_ms + USABLE_KEPT_MS
+            self.known_usable = {
+                True: self._find_usable(True, now_ms),
+                False: self._find_usable(False, now_ms),
+            }
+        return self.known_usable[near]
+
+    def _find_usable(
+        self, near: bool, now_ms: float
     ) -> list[engine_view.EngineView]:
         names = [
             view.info.upstream
@@ -367,6 +382,7 @@
     def _feed_back(self, now_ms: float) -> None:
         if self.options.ejection:
             self.book.eject_slow(list(self.views), now_ms)
+            self.forget_usable()
         for view in self.views.values():
             running = self.placement.running(view, now_ms)
             known = self.book.upstreams.get(view.info.upstream)
--- a/eelgrassknot/policy/length.py
+++ b/eelgrassknot/policy/length.py
@@ -76,6 +76,7 @@
         self.weight_ms: float | None = None
         self.built_ms = -math.inf
         self.expected = self.mean()
+        self.builds = 0
 
     def reached(self, first: int, last: int, now_ms: float) -> None:
         """Count a request as having reached bins.
@@ -112,6 +113,7 @@
             alive *= 1.0 - hazard
             self.survival[index + 1] = alive
         self.expected = self.mean()
+        self.builds += 1
 
     def survival_at(self, tokens: float) -> float:
         """Return the chance that an output is longer than ``tokens``."""
@@ -160,6 +162,8 @@
     def __init__(self, histograms: tuple[SurvivalHistogram, ...]) -> None:
         self.histograms = histograms
         self.finest = histograms[-1]
+        self.chances: tuple[float, ...] = ()
+        self.chances_build = -1
 
     def started(self, now_ms: float) -> None:
         """Count a request that has started."""
@@ -186,6 +190,18 @@
         """Expected length of an output in tokens."""
         return self.finest.expected
 
+    def chances_at(self, lengths: tuple[int, ...]) -> tuple[float, ...]:
+        """Return the chance that a new output outlasts each length.
+
+        Args:
+            lengths: Lengths in tokens; always the same ones.
+        """
+        finest = self.finest
+        if self.chances_build != finest.builds:
+            self.chances_build = finest.builds
+            self.chances = tuple(finest.survival_at(x) for x in lengths)
+        return self.chances
+
     def chance_longer(self, ahead: float, produced: int) -> float:
         """Return the chance of at least ``ahead`` more tokens.
 
--- a/eelgrassknot/policy/memory.py
+++ b/eelgrassknot/policy/memory.py
@@ -74,7 +74,17 @@
     length_class: length.LengthClass, prompt_tokens: int, max_tokens: int
 ) -> Footprint:
     """Return what a request that has not started is expected to hold."""
-    return footprint(length_class, prompt_tokens, 0, max_tokens)
+    if max_tokens <= HORIZONS_TOKENS[-1]:
+        return footprint(length_class, prompt_tokens, 0, max_tokens)
+    means = []
+    variances = []
+    chances = length_class.chances_at(HORIZONS_TOKENS)
+    for ahead, chance in zip(HORIZONS_TOKENS, chances):
+        held = prompt_tokens + ahead
+        mean = held * chance
+        means.append(mean)
+        variances.append(mean * (held - mean))
+    return Footprint(tuple(means), tuple(variances))
 
 
 class MemoryForecast:
@@ -142,13 +152,19 @@
                 quantile lies.
         """
         peak = 0.0
-        for index in _INDEXES:
-            mean = self.means[index] + others.means[index]
-            mean += added.means[index]
-            variance = self.variances[index] + others.variances[index]
-            variance += added.variances[index]
-            if variance > 0:
-                mean += deviations * math.sqrt(variance)
-            if mean > peak:
-                peak = mean
+        rows = zip(
+            self.means,
+            others.means,
+            added.means,
+            self.variances,
+            others.variances,
+            added.variances,
+        )
+        for mean, mean_2, mean_3, spread, spread_2, spread_3 in rows:
+            held = mean + mean_2 + mean_3
+            variance = spread + spread_2 + spread_3
+            if variance > 0.0:
+                held += deviations * math.sqrt(variance)
+            if held > peak:
+                peak = held
         return peak
--- a/eelgrassknot/policy/objective.py
+++ b/eelgrassknot/policy/objective.py
@@ -6,10 +6,11 @@
 
 __all__ = ['Knobs', 'knobs']
 
-BASE_DEVIATIONS = 0.6
+BASE_DEVIATIONS = 0.0
 STALL_DEVIATIONS = 1.2
 SLOWEST_TOKEN_GAP_MS = 70.0
 TAIL_TOKEN_GAP_MS = 50.0
+LANE_WEIGHT = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,12 +24,15 @@
             lowered.
         memory_weight: Weight of expected memory in the choice of engine.
         batch_weight: Weight of an engine's batch size in that choice.
+        lane_weight: Cost of an engine where a prompt of this size delays
+            more streams than it needs to.
     """
 
     deviations: float
     token_gap_ms: float
     memory_weight: float
     batch_weight: float
+    lane_weight: float
 
 
 def knobs(objective: services_text.Objective) -> Knobs:
@@ -48,4 +52,5 @@
         token_gap_ms=SLOWEST_TOKEN_GAP_MS - TAIL_TOKEN_GAP_MS * tail,
         memory_weight=memory,
         batch_weight=tail,
+        lane_weight=LANE_WEIGHT * tail,
     )
--- a/eelgrassknot/policy/placement.py
+++ b/eelgrassknot/policy/placement.py
@@ -17,15 +17,16 @@
 from eelgrassknot.policy import memory
 from eelgrassknot.policy import messages
 from eelgrassknot.policy import objective
+from eelgrassknot.policy import prefill_lane
 from eelgrassknot.policy import prefix
 from eelgrassknot.settings import text as services_text
 
 __all__ = ['Placement', 'PlacementOptions']
 
-SAMPLED = 3
+SAMPLED = 5
 KNOWN_TOTAL_TOKENS = 16_384
-USABLE_MEMORY = 0.97
-PREFILL_SCALE_TOKENS = 4_096
+USABLE_MEMORY = 0.95
+PREFILL_SCALE_TOKENS = 1_024
 OTHER_ZONE_COST = 0.02
 PROFILE_INTERVAL_MS = 1_000.0
 UNLEARNED_PROMPT_TOKENS = 500
@@ -44,6 +45,7 @@
         feedback: Whether the concurrency limit binds.
         ejection: Whether slow engines are ejected.
         fairness: Whether accounts' counters order the queue.
+        lane: Whether long prompts prefer few engines.
         sampled: How many engines are sampled.
     """
 
@@ -54,6 +56,7 @@
     feedback: bool = True
     ejection: bool = True
     fairness: bool = True
+    lane: bool = True
     sampled: int = SAMPLED
 
 
@@ -75,6 +78,7 @@
         self.availability_zone = availability_zone
         self.generator = generator
         self.options = options
+        self.lane = prefill_lane.LongPromptLane()
         self.typical = _unlearned()
         self.learned = False
         self.typical_ms = -PROFILE_INTERVAL_MS
@@ -185,6 +189,9 @@
         cost = knobs.memory_weight * peak / total
         cost += knobs.batch_weight * running / view.limit.limit
         cost += max(0, uncovered) / PREFILL_SCALE_TOKENS
+        name = view.info.upstream
+        if self.options.lane and not self.lane.fits(name, uncovered):
+            cost += knobs.lane_weight
         if view.info.availability_zone != self.availability_zone:
             cost += OTHER_ZONE_COST
         return cost
