--- /dev/null
+++ b/benchmarks/relay/__init__.py
@@ -0,0 +1,1 @@
+"""What a relayed token and a request cost a daemon."""
--- /dev/null
+++ b/eelgrassknot/requests/claim.py
@@ -0,0 +1,313 @@
+"""Claim of one keyed call: it runs at most once in all VMs together."""
+
+import enum
+
+from eelgrassknot import ids
+from eelgrassknot.requests import claim_ledger
+from eelgrassknot.requests import claim_messages as messages
+from eelgrassknot.requests import peers
+from eelgrassknot.requests import plain_messages
+from eelgrassknot import states
+
+__all__ = ['Claim', 'ClaimStage']
+
+NEVER_MS = float('inf')
+STORE_PATIENCE_MS = 3_000.0
+STORE_RETRY_MS = 100.0
+POLL_MS = 150.0
+MAX_POLL_MS = 1_000.0
+OUTCOME_RETRY_MS = 250.0
+MAX_OUTCOME_RETRY_MS = 10_000.0
+OUTCOME_PATIENCE_MS = 600_000.0
+
+_OWNER_MAY_STILL_RUN = (
+    peers.OwnerAnswer.RUNNING,
+    peers.OwnerAnswer.UNREACHABLE,
+)
+
+
+class ClaimStage(enum.Enum):
+    """Stages of a claim."""
+
+    WRITING = 'writing'
+    READING = 'reading'
+    ASKING = 'asking'
+    WAITING = 'waiting'
+    HELD = 'held'
+    STORING = 'storing'
+    ENDED = 'ended'
+
+
+class Claim:
+    """Decides whether this VM may dispatch a keyed call.
+
+    The claim is a row that is written before the call is dispatched. It
+    is never taken over: its holder may be paused and go on later. A
+    claim whose holder says that it was abandoned may be replaced.
+
+    Args:
+        request_hash: Hash of the method, path and body.
+        nonce: Names this attempt; used for each repeat of its writes.
+        ledger: The claims of this VM.
+        deadline_ms: Time by which the caller wants an answer.
+        now_ms: The present time.
+
+    Attributes:
+        version: Version of the row that this claim holds.
+        expected: Version that the write on its way asks for.
+        uncertain: Whether a write of this nonce may land later.
+        met_other: Whether another claim of the key has been met, so
+            that the call may have run whatever this VM does.
+    """
+
+    def __init__(
+        self,
+        request_hash: str,
+        nonce: ids.Nonce,
+        ledger: claim_ledger.ClaimLedger,
+        deadline_ms: float,
+        now_ms: float,
+    ) -> None:
+        self.request_hash = request_hash
+        self.nonce = nonce
+        self.ledger = ledger
+        self.deadline_ms = deadline_ms
+        self.store_until_ms = min(deadline_ms, now_ms + STORE_PATIENCE_MS)
+        self.stage = ClaimStage.WRITING
+        self.expected: int | None = None
+        self.version = 0
+        self.uncertain = False
+        self.met_other = False
+        self.found: messages.RowRead | None = None
+        self.judged_version: int | None = None
+        self.wake_at_ms = NEVER_MS
+        self.next_action: messages.Action | None = None
+        self.poll_ms = POLL_MS
+        self.retry_ms = OUTCOME_RETRY_MS
+        self.stored: messages.StoreOutcome | None = None
+        self.stored_until_ms = NEVER_MS
+
+    def start(self) -> list[messages.Action]:
+        """Begin to claim the key."""
+        self.ledger.begin(self.nonce)
+        return self._write(None)
+
+    def handle(
+        self, event: messages.Event, now_ms: float
+    ) -> list[messages.Action]:
+        """Take in one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now_ms: The present time.
+        """
+        match self.stage:
+            case ClaimStage.ENDED:
+                return []
+            case ClaimStage.HELD:
+                if isinstance(event, messages.CallEnded):
+                    return self._call_ended(event.end, now_ms)
+                return []
+            case ClaimStage.STORING:
+                return self._storing(event, now_ms)
+        match event:
+            case messages.WriteCommitted(version):
+                return self._hold(version, now_ms)
+            case messages.WriteConflicted():
+                self.met_other = True
+                return self._read()
+            case messages.WriteUnknown():
+                self.uncertain = True
+                return self._read()
+            case messages.WriteUnavailable():
+                return self._store_failed(
+                    messages.WriteClaim(self.expected), now_ms
+                )
+            case messages.ReadFailed():
+                return self._store_failed(messages.ReadRow(), now_ms)
+            case messages.RowRead(row):
+                return self._row_read(row, event, now_ms)
+            case messages.OwnerAnswered(answer):
+                return self._owner_answered(answer, now_ms)
+            case messages.Tick():
+                return self._tick(now_ms)
+        return []
+
+    def wake_ms(self) -> float:
+        """Return the time at which a tick is needed next."""
+        return self.wake_at_ms
+
+    def _write(self, version: int | None) -> list[messages.Action]:
+        self.stage = ClaimStage.WRITING
+        self.expected = version
+        return [messages.WriteClaim(version)]
+
+    def _read(self) -> list[messages.Action]:
+        self.stage = ClaimStage.READING
+        return [messages.ReadRow()]
+
+    def _wait(
+        self, action: messages.Action, for_ms: float, now_ms: float
+    ) -> list[messages.Action]:
+        self.stage = ClaimStage.WAITING
+        self.next_action = action
+        self.wake_at_ms = now_ms + for_ms
+        return []
+
+    def _tick(self, now_ms: float) -> list[messages.Action]:
+        if self.stage is not ClaimStage.WAITING or now_ms < self.wake_at_ms:
+            return []
+        self.wake_at_ms = NEVER_MS
+        action = self.next_action
+        if isinstance(action, messages.WriteClaim):
+            return self._write(action.version)
+        return self._read()
+
+    def _store_failed(
+        self, retried: messages.Action, now_ms: float
+    ) -> list[messages.Action]:
+        if now_ms < self.store_until_ms:
+            return self._wait(retried, STORE_RETRY_MS, now_ms)
+        return self._give_up(
+            states.RefusalReason.STORE_UNAVAILABLE.value, now_ms
+        )
+
+    def _give_up(self, reason: str, now_ms: float) -> list[messages.Action]:
+        outcome = states.Outcome.NOT_RUN
+        if self.met_other:
+            outcome = states.Outcome.UNKNOWN
+        return self._end(messages.EndClaim(outcome, reason))
+
+    def _end(self, end: messages.EndClaim) -> list[messages.Action]:
+        self.stage = ClaimStage.ENDED
+        if self.uncertain:
+            self.ledger.abandon(self.nonce)
+        else:
+            self.ledger.forget(self.nonce)
+        return [end]
+
+    def _row_read(
+        self,
+        row: messages.ClaimRow | None,
+        event: messages.RowRead,
+        now_ms: float,
+    ) -> list[messages.Action]:
+        if row is None:
+            # Absent does not mean that the write will not land: the same
+            # write again makes sure that one of the two did.
+            if now_ms >= self.store_until_ms:
+                return self._give_up(
+                    states.RefusalReason.STORE_UNAVAILABLE.value, now_ms
+                )
+            return self._write(None)
+        if row.nonce == self.nonce:
+            return self._hold(event.version, now_ms)
+        self.met_other = True
+        self.found = event
+        if row.request_hash != self.request_hash:
+            return self._end(
+                messages.EndClaim(states.Outcome.INVALID, 'key_reused')
+            )
+        match row.state:
+            case messages.ClaimState.DONE:
+                return self._end(
+                    messages.EndClaim(states.Outcome.DONE, 'repeat', row=row)
+                )
+            case messages.ClaimState.NOT_RUN:
+                return self._replace(event.version, now_ms)
+        self.stage = ClaimStage.ASKING
+        return [messages.AskOwner(row)]
+
+    def _replace(self, version: int, now_ms: float) -> list[messages.Action]:
+        self.met_other = False
+        self.store_until_ms = min(self.deadline_ms, now_ms + STORE_PATIENCE_MS)
+        return self._write(version)
+
+    def _owner_answered(
+        self, answer: peers.OwnerAnswer, now_ms: float
+    ) -> list[messages.Action]:
+        if answer is peers.OwnerAnswer.ABANDONED:
+            return self._replace(self.found.version, now_ms)
+        if answer in _OWNER_MAY_STILL_RUN:
+            return self._poll(now_ms)
+        if self.judged_version == self.found.version:
+            return self._end(
+                messages.EndClaim(states.Outcome.UNKNOWN, 'owner_gone')
+            )
+        # The owner may have stored the answer just before it went.
+        self.judged_version = self.found.version
+        return self._read()
+
+    def _poll(self, now_ms: float) -> list[messages.Action]:
+        if now_ms + self.poll_ms >= self.deadline_ms:
+            return self._end(
+                messages.EndClaim(states.Outcome.UNKNOWN, 'still_running')
+            )
+        self.store_until_ms = self.deadline_ms
+        waited = self._wait(messages.ReadRow(), self.poll_ms, now_ms)
+        self.poll_ms = min(2 * self.poll_ms, MAX_POLL_MS)
+        return waited
+
+    def _hold(self, version: int, now_ms: float) -> list[messages.Action]:
+        self.version = version
+        if now_ms >= self.deadline_ms:
+            # Paused or delayed: the caller has given up, so running the
+            # call now would only surprise.
+            return self._store(messages.ClaimState.NOT_RUN, None, now_ms) + [
+                messages.EndClaim(states.Outcome.NOT_RUN, 'deadline')
+            ]
+        self.stage = ClaimStage.HELD
+        return [messages.StartCall()]
+
+    def _call_ended(
+        self, end: plain_messages.EndCall, now_ms: float
+    ) -> list[messages.Action]:
+        told = messages.EndClaim(
+            end.outcome,
+            end.reason,
+            answer=end.answer,
+            retry_after_ms=end.retry_after_ms,
+        )
+        match end.outcome:
+            case states.Outcome.UNKNOWN:
+                self.stage = ClaimStage.ENDED
+                self.ledger.mark_unknown(self.nonce)
+                return [told]
+            case states.Outcome.NOT_RUN:
+                state = messages.ClaimState.NOT_RUN
+            case _:
+                state = messages.ClaimState.DONE
+        return [told] + self._store(state, end.answer, now_ms)
+
+    def _store(
+        self,
+        state: messages.ClaimState,
+        answer: plain_messages.Answer | None,
+        now_ms: float,
+    ) -> list[messages.Action]:
+        self.stage = ClaimStage.STORING
+        self.stored = messages.StoreOutcome(self.version, state, answer)
+        self.stored_until_ms = now_ms + OUTCOME_PATIENCE_MS
+        return [self.stored]
+
+    def _storing(
+        self, event: messages.Event, now_ms: float
+    ) -> list[messages.Action]:
+        match event:
+            case messages.WriteCommitted() | messages.WriteConflicted():
+                # Only this claim's own write can have changed its row.
+                self.stage = ClaimStage.ENDED
+                self.ledger.forget(self.nonce)
+                return []
+            case messages.Tick():
+                if now_ms < self.wake_at_ms:
+                    return []
+                self.wake_at_ms = NEVER_MS
+                return [self.stored]
+        if now_ms >= self.stored_until_ms:
+            self.stage = ClaimStage.ENDED
+            self.ledger.mark_unknown(self.nonce)
+            return []
+        self.wake_at_ms = now_ms + self.retry_ms
+        self.retry_ms = min(2 * self.retry_ms, MAX_OUTCOME_RETRY_MS)
+        return []
--- /dev/null
+++ b/eelgrassknot/requests/plain_call.py
@@ -0,0 +1,196 @@
+"""Life of one call to a plain service."""
+
+import enum
+import random
+
+from eelgrassknot import ids
+from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot.requests import backoff
+from eelgrassknot.requests import plain_messages as messages
+from eelgrassknot import states
+
+__all__ = ['PlainCall']
+
+NEVER_MS = float('inf')
+MAX_ATTEMPTS = 4
+MIN_ATTEMPT_MS = 250.0
+ATTEMPT_SHARE = 0.5
+RETRIED_STATUSES = frozenset([502, 503, 504])
+SERVER_ERROR_STATUS = 500
+
+
+class _Stage(enum.Enum):
+    PLACING = 'placing'
+    SENDING = 'sending'
+    BACKING_OFF = 'backing_off'
+    ENDED = 'ended'
+
+
+class PlainCall:
+    """Decides how one plain call goes on.
+
+    An idempotent call is repeated on other upstreams, as far as the
+    dispatcher's retry budget and the deadline allow. Any other call is
+    sent again only if no byte of it has left.
+
+    Args:
+        request: Identifier of the request.
+        call_class: How often the call may run.
+        deadline_ms: Time by which the call has to end.
+        generator: Source of random delays.
+
+    Attributes:
+        may_have_run: Whether a byte of any attempt may have left.
+    """
+
+    def __init__(
+        self,
+        request: ids.RequestId,
+        call_class: messages.CallClass,
+        deadline_ms: float,
+        generator: random.Random,
+    ) -> None:
+        self.request = request
+        self.call_class = call_class
+        self.deadline_ms = deadline_ms
+        self.jitter = backoff.DecorrelatedJitter(generator)
+        self.stage = _Stage.PLACING
+        self.upstream: kernel_events.UpstreamInfo | None = None
+        self.crosses_region = False
+        self.attempt = 0
+        self.may_have_run = False
+        self.retry_at_ms = NEVER_MS
+        self.last_answer: messages.Answer | None = None
+        self.outcome: messages.EndCall | None = None
+
+    def handle(
+        self, event: messages.Event, now_ms: float
+    ) -> list[messages.Action]:
+        """Take in one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now_ms: The present time.
+        """
+        if self.stage is _Stage.ENDED:
+            return []
+        match event:
+            case messages.Placed(upstream, crosses_region):
+                self.crosses_region = crosses_region
+                return self._send(upstream, now_ms)
+            case messages.Refused(reason, retry_after_ms):
+                return self._stop(reason.value, retry_after_ms)
+            case messages.Tick():
+                return self._tick(now_ms)
+            case messages.Answered(attempt, answer):
+                if attempt != self.attempt:
+                    return []
+                return self._answered(answer, now_ms)
+            case messages.AttemptFailed(attempt, bytes_left):
+                if attempt != self.attempt:
+                    return []
+                return self._failed(bytes_left, now_ms)
+        return []
+
+    def wake_ms(self) -> float:
+        """Return the time at which a tick is needed next."""
+        if self.stage is _Stage.BACKING_OFF:
+            return min(self.retry_at_ms, self.deadline_ms)
+        return self.deadline_ms
+
+    def is_repeatable(self) -> bool:
+        """Return whether the call may run more than once."""
+        return self.call_class is messages.CallClass.IDEMPOTENT
+
+    def _send(
+        self, upstream: kernel_events.UpstreamInfo, now_ms: float
+    ) -> list[messages.Action]:
+        remaining_ms = self.deadline_ms - now_ms
+        if remaining_ms <= 0:
+            return self._stop('deadline')
+        self.upstream = upstream
+        self.attempt += 1
+        self.stage = _Stage.SENDING
+        timeout_ms = remaining_ms
+        if self.is_repeatable() and self.attempt < MAX_ATTEMPTS:
+            # Leaves time for another attempt if this connection is dead.
+            share_ms = max(MIN_ATTEMPT_MS, ATTEMPT_SHARE * remaining_ms)
+            timeout_ms = min(remaining_ms, share_ms)
+        proven = not self.is_repeatable() or self.attempt > 1
+        return [messages.Send(self.attempt, upstream, timeout_ms, proven)]
+
+    def _answered(
+        self, answer: messages.Answer, now_ms: float
+    ) -> list[messages.Action]:
+        self.may_have_run = True
+        if answer.request is not None and answer.request != self.request:
+            # Another caller's answer; our own may come anywhere or never.
+            return self._retry_or_stop('crossed_answer', now_ms)
+        if self.is_repeatable() and answer.status in RETRIED_STATUSES:
+            self.last_answer = answer
+            return self._retry_or_stop(f'status_{answer.status}', now_ms)
+        return [self._pass_on(answer)]
+
+    def _pass_on(self, answer: messages.Answer) -> messages.EndCall:
+        outcome = states.Outcome.DONE
+        if answer.status >= SERVER_ERROR_STATUS:
+            outcome = states.Outcome.FAILED
+        return self._end(
+            messages.EndCall(outcome, f'status_{answer.status}', answer)
+        )
+
+    def _failed(
+        self, bytes_left: bool, now_ms: float
+    ) -> list[messages.Action]:
+        if bytes_left:
+            self.may_have_run = True
+            return self._retry_or_stop('no_answer', now_ms)
+        if self.attempt >= MAX_ATTEMPTS:
+            return self._stop('upstream_unreachable')
+        return self._place_again()
+
+    def _retry_or_stop(
+        self, reason: str, now_ms: float
+    ) -> list[messages.Action]:
+        if not self.is_repeatable() or self.attempt >= MAX_ATTEMPTS:
+            return self._stop(reason)
+        self.retry_at_ms = now_ms + self.jitter.next_ms()
+        if self.retry_at_ms >= self.deadline_ms:
+            return self._stop(reason)
+        self.stage = _Stage.BACKING_OFF
+        return []
+
+    def _place_again(self) -> list[messages.Action]:
+        self.stage = _Stage.PLACING
+        return [messages.Place(self.upstream.upstream)]
+
+    def _tick(self, now_ms: float) -> list[messages.Action]:
+        if now_ms >= self.deadline_ms:
+            if self.stage is _Stage.SENDING:
+                # The bytes may be on their way.
+                self.may_have_run = True
+            return self._stop('deadline')
+        if self.stage is _Stage.BACKING_OFF and now_ms >= self.retry_at_ms:
+            return self._place_again()
+        return []
+
+    def _stop(
+        self, reason: str, retry_after_ms: float | None = None
+    ) -> list[messages.Action]:
+        if self.last_answer is not None:
+            return [self._pass_on(self.last_answer)]
+        outcome = states.Outcome.NOT_RUN
+        if self.may_have_run:
+            outcome = states.Outcome.UNKNOWN
+        return [
+            self._end(
+                messages.EndCall(
+                    outcome, reason, retry_after_ms=retry_after_ms
+                )
+            )
+        ]
+
+    def _end(self, outcome: messages.EndCall) -> messages.EndCall:
+        self.stage = _Stage.ENDED
+        self.outcome = outcome
+        return outcome
--- /dev/null
+++ b/eelgrassknot/requests/plain_messages.py
@@ -0,0 +1,126 @@
+"""Events that a plain call is told and actions that it returns."""
+
+import dataclasses
+import enum
+
+import msgspec
+
+from eelgrassknot import ids
+from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot import states
+
+__all__ = [
+    'Action',
+    'Answer',
+    'Answered',
+    'AttemptFailed',
+    'CallClass',
+    'EndCall',
+    'Event',
+    'Place',
+    'Placed',
+    'Refused',
+    'Send',
+    'Tick',
+]
+
+
+class CallClass(enum.Enum):
+    """How often a call may run."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+    KEYED = 'keyed'
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What an upstream answered.
+
+    Attributes:
+        request: Request that the upstream says it answers, or None.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    request: ids.RequestId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed:
+    """The dispatcher chose an upstream."""
+
+    upstream: kernel_events.UpstreamInfo
+    crosses_region: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The dispatcher has no upstream for the call."""
+
+    reason: states.RefusalReason
+    retry_after_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An attempt was answered."""
+
+    attempt: int
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt got no answer.
+
+    Attributes:
+        bytes_left: Whether any byte of the request may have left.
+    """
+
+    attempt: int
+    bytes_left: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = Placed | Refused | Answered | AttemptFailed | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Have the dispatcher choose another upstream."""
+
+    failed: ids.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to an upstream.
+
+    Attributes:
+        proven: Whether only a new connection will do: one that was open
+            before may have gone silent, which would leave the outcome
+            unknown.
+    """
+
+    attempt: int
+    upstream: kernel_events.UpstreamInfo
+    timeout_ms: float
+    proven: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndCall:
+    """Tell the caller the outcome; nothing follows."""
+
+    outcome: states.Outcome
+    reason: str
+    answer: Answer | None = None
+    retry_after_ms: float | None = None
+
+
+Action = Place | Send | EndCall
--- a/eelgrassknot/upstreams/engine_stream.py
+++ b/eelgrassknot/upstreams/engine_stream.py
@@ -1,7 +1,8 @@
 """Reads one generation's token stream from an engine."""
 
 import collections
-import time
+import re
+import select
 
 import msgspec
 import pycurl
@@ -12,14 +13,22 @@
 
 __all__ = ['EngineStream']
 
-NO_SOCKET_PAUSE_MS = 1
-
 _OK = 200
-_STATUS_LINE = b'HTTP/'
+_STATUS_LINE = re.compile(rb'HTTP/[\d.]+ (\d{3})')
 _EVENT_END = b'\n\n'
 _DATA = b'data: '
 _DONE = b'[DONE]'
 _MAX_EVENT_BYTES = 1_048_576
+_EVENTS = {
+    pycurl.POLL_IN: select.POLLIN,
+    pycurl.POLL_OUT: select.POLLOUT,
+    pycurl.POLL_INOUT: select.POLLIN | select.POLLOUT,
+}
+_ACTIONS = {
+    select.POLLIN: pycurl.CSELECT_IN,
+    select.POLLOUT: pycurl.CSELECT_OUT,
+}
+_BOTH = pycurl.CSELECT_IN | pycurl.CSELECT_OUT
 _TOKEN_DECODER = msgspec.json.Decoder(messages.Token)
 
 
@@ -46,17 +55,21 @@
         self.url = url
         self.events: collections.deque = collections.deque()
         self.buffer = b''
-        self.status = 0
         self.started = False
         self.ended = False
         self.bytes_in = 0
+        self.poller = select.poll()
+        self.timer_ms = 0
         self.curl = pycurl.Curl()
         self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         http_client.configure(self.curl, method, url, body, headers)
         self.curl.setopt(pycurl.FRESH_CONNECT, 1)
-        self.curl.setopt(pycurl.HEADERFUNCTION, self._header)
+        self.curl.setopt(pycurl.HEADERFUNCTION, self._take_header)
         self.curl.setopt(pycurl.WRITEFUNCTION, self._received)
         self.multi.add_handle(self.curl)
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
 
     def read(self, timeout_ms: float) -> list[messages.StreamEvent]:
         """Return the events that have come; none if the time ran out.
@@ -64,45 +77,55 @@
         Args:
             timeout_ms: How long to wait for the first event.
         """
-        self._perform()
         if not self.events and not self.ended:
             self._wait(timeout_ms)
-            self._perform()
         events = list(self.events)
         self.events.clear()
         return events
 
-    def close(self) -> None:
-        """End the connection."""
-        self.ended = True
-        self.multi.remove_handle(self.curl)
-        self.curl.close()
-        self.multi.close()
-
     def _wait(self, timeout_ms: float) -> None:
-        # Before the connection has a socket there is nothing to select.
-        if self.multi.select(timeout_ms / 1000) < 0:
-            time.sleep(NO_SOCKET_PAUSE_MS / 1000)
+        # The library's own timer runs while it connects.
+        if 0 <= self.timer_ms < timeout_ms:
+            timeout_ms = self.timer_ms
+        ready = self.poller.poll(timeout_ms)
+        for descriptor, events in ready:
+            self._act(descriptor, _ACTIONS.get(events, _BOTH))
+        if not ready and self.timer_ms >= 0:
+            self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _watch(
+        self, wanted: int, descriptor: int, multi: object, data: object
+    ) -> None:
+        if wanted == pycurl.POLL_REMOVE:
+            self.poller.unregister(descriptor)
+        else:
+            self.poller.register(descriptor, _EVENTS[wanted])
 
-    def _perform(self) -> None:
-        if self.ended:
+    def _set_timer(self, timer_ms: int) -> None:
+        self.timer_ms = timer_ms
+
+    def _act(self, descriptor: int, events: int) -> None:
+        _, running = self.multi.socket_action(descriptor, events)
+        if running:
             return
-        self.multi.perform()
         _, succeeded, failed = self.multi.info_read()
-        if succeeded:
-            self._finished()
+        for curl in succeeded:
+            self._finished(curl.getinfo(pycurl.RESPONSE_CODE))
         for curl, _, reason in failed:
             self._broke(http_client.failure(curl, self.url, reason))
 
-    def _header(self, line: bytes) -> None:
-        # libcurl allows no getinfo within a callback.
-        if line.startswith(_STATUS_LINE):
-            self.status = int(line.split()[1])
+    def close(self) -> None:
+        """End the connection."""
+        self.ended = True
+        self.multi.remove_handle(self.curl)
+        self.curl.close()
+        self.multi.close()
 
     def _received(self, data: bytes) -> int | None:
         self.bytes_in += len(data)
-        if not self.started and not self._start():
-            self.buffer += data
+        if not self.started:
+            # The body of a refusal.
+            self.buffer += data[: _MAX_EVENT_BYTES - len(self.buffer)]
             return None
         *events, self.buffer = (self.buffer + data).split(_EVENT_END)
         if len(self.buffer) > _MAX_EVENT_BYTES:
@@ -111,12 +134,12 @@
             self._take(event)
         return None
 
-    def _start(self) -> bool:
-        if self.status != _OK:
-            return False
-        self.started = True
-        self.events.append(messages.AnswerStarted())
-        return True
+    def _take_header(self, line: bytes) -> None:
+        # The library gives no status while a callback runs.
+        status = _STATUS_LINE.match(line)
+        if status is not None and int(status[1]) == _OK:
+            self.started = True
+            self.events.append(messages.AnswerStarted())
 
     def _take(self, event: bytes) -> None:
         if not event.startswith(_DATA) or self.ended:
@@ -137,13 +160,12 @@
                 )
             )
 
-    def _finished(self) -> None:
+    def _finished(self, status: int) -> None:
         if self.ended:
             return
         self.ended = True
-        if self.status != _OK:
-            refused = messages.AnswerRefused(self.status, self.buffer)
-            self.events.append(refused)
+        if status != _OK:
+            self.events.append(messages.AnswerRefused(status, self.buffer))
             return
         self.events.append(
             messages.StreamBroken(
