Run keyed calls at most once by claims in the table

A claim is written before dispatch and never taken over; a lost answer is read back and the same write repeated; giving up is recorded, so that others may replace a claim that still lands. Plain calls publish their facts, and engines are sent the model of the text, not the service's name.

--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -55,7 +55,9 @@
 )
 
 
-@parts.part('callers', after=('dispatch', 'config', 'membership', 'relays'))
+@parts.part(
+    'callers', after=('dispatch', 'config', 'membership', 'relays', 'claims')
+)
 class CallersPart(parts.Part):
     """Answers callers, each request in a thread of the server."""
 
--- a/eelgrassknot/frontend/generations.py
+++ b/eelgrassknot/frontend/generations.py
@@ -15,6 +15,7 @@
 from eelgrassknot.policy import messages as policy
 from eelgrassknot.requests import generation as generation_machine
 from eelgrassknot.requests import generation_key
+from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
 __all__ = ['generate']
@@ -49,14 +50,16 @@
             f'no service {request.model} is open to this account',
             'ask /v1/models for the services',
         )
-    return _relay(context, request, chat)
+    return _relay(context, service, request, chat)
 
 
 def _relay(
     context: contexts.CallContext,
+    service: services_text.Service,
     request: openai.GenerationRequest,
     chat: bool,
 ) -> wrappers.Response:
+    model = request.model if service.model is None else service.model.model
     machine = generation_machine.Generation(
         context.request,
         request.stream,
@@ -72,8 +75,8 @@
         context.relays,
         machine,
         _profile(context, request),
-        ids.ServiceName(request.model),
-        relays.start_body(request),
+        service.service,
+        relays.start_body(request, model),
         generation,
     )
     encoder = openai.AnswerEncoder(context.request, request.model, chat)
--- a/eelgrassknot/frontend/plain_calls.py
+++ b/eelgrassknot/frontend/plain_calls.py
@@ -1,17 +1,53 @@
-"""Relays calls to plain services."""
+"""Passes calls on to plain services."""
+
+import concurrent.futures
+import hashlib
+import http
+import threading
 
 import result
 from werkzeug import wrappers
 
+from eelgrassknot import clock as clocks
+from eelgrassknot.frontend import claim_part
 from eelgrassknot.frontend import context as contexts
 from eelgrassknot import http_client
 from eelgrassknot import ids
+from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot.policy import messages as policy
+from eelgrassknot.requests import claim_messages
+from eelgrassknot.requests import plain_call
+from eelgrassknot.requests import plain_messages as messages
+from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
 __all__ = ['call']
 
-_PASSED_HEADERS = ('Content-Type', 'Accept', 'Idempotency-Key')
+MAX_KEY_CHARACTERS = 255
+QUEUE_POLL_MS = 500.0
+KEY_HEADER = 'Idempotency-Key'
+
+_PASSED_HEADERS = ('Content-Type', 'Accept', KEY_HEADER)
+_STATUSES = {
+    states.Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    states.Outcome.UNKNOWN: http.HTTPStatus.GATEWAY_TIMEOUT,
+    states.Outcome.INVALID: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+_MESSAGES = {
+    states.Outcome.NOT_RUN: (
+        'the call was not run and will not be',
+        'repeat it, with the same key, after the time in Retry-After',
+    ),
+    states.Outcome.UNKNOWN: (
+        'the call may have run',
+        'find out whether it ran before you repeat it with another key',
+    ),
+    states.Outcome.INVALID: (
+        'the key was used for another request',
+        'use a new key for a new request',
+    ),
+}
+DEFAULT_RETRY_AFTER_MS = 1_000.0
 
 
 def call(
@@ -19,15 +55,268 @@
 ) -> wrappers.Response:
     """Answer a call to a plain service."""
     service = context.text.service(service_name)
-    if service is None or service_name not in context.account.services:
+    allowed = service_name in context.account.services
+    plain = service is not None and service.kind is states.ServiceKind.PLAIN
+    if not allowed or not plain:
         return context.refuse(
             404,
             states.Outcome.INVALID,
             'service_not_found',
-            f'no service {service_name} is open to this account',
+            f'no plain service {service_name} is open to this account',
             'use a service of the account',
         )
-    profile = policy.RequestProfile(
+    key = context.http.headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY_CHARACTERS:
+        return context.refuse(
+            400,
+            states.Outcome.INVALID,
+            'key_too_long',
+            f'{KEY_HEADER} is longer than {MAX_KEY_CHARACTERS} characters',
+            'send a shorter key',
+        )
+    return _PlainRelay(context, service, path, key).respond()
+
+
+class _PlainRelay:
+    def __init__(
+        self,
+        context: contexts.CallContext,
+        service: services_text.Service,
+        path: str,
+        key: str,
+    ) -> None:
+        self.context = context
+        self.service = service
+        self.clock = context.node.clock
+        self.key = key
+        self.path = path
+        self.body = context.http.get_data()
+        self.profile = _profile(context, service)
+        self.machine = plain_call.PlainCall(
+            context.request,
+            _call_class(service, context.http.method, path, key),
+            self._deadline_ms(),
+            context.node.generator,
+        )
+        self.queue_ms = 0.0
+        self.upstream_ms = 0.0
+        self.store_ms = 0.0
+        self.bytes_in = 0
+
+    def _deadline_ms(self) -> float:
+        latest_ms = self.context.arrived_ms + self.service.timeout_ms
+        if self.context.deadline_ms is None:
+            return latest_ms
+        return min(latest_ms, self.context.deadline_ms)
+
+    def respond(self) -> wrappers.Response:
+        end = claim_messages.EndClaim(states.Outcome.UNKNOWN, 'internal')
+        try:
+            end = self._run()
+        finally:
+            done = end.outcome is states.Outcome.DONE
+            self.context.dispatch.tell(
+                policy.RequestEnded(self.profile.request, done)
+            )
+            self.context.node.hub.publish(self._facts(end))
+        return self._answer(end)
+
+    def _run(self) -> claim_messages.EndClaim:
+        placed = self._submit(policy.RequestArrived(self.profile))
+        if isinstance(placed, messages.Refused):
+            return _unclaimed(self._drive(placed))
+        if self.machine.call_class is not messages.CallClass.KEYED:
+            return _unclaimed(self._drive(placed))
+        claims: claim_part.ClaimPart = self.context.node.part_set.parts[
+            'claims'
+        ]
+        keyed = claims.create(
+            _row_key(self.context.account.client_account, self.key),
+            self._request_hash(),
+            self.machine.deadline_ms,
+        )
+        end = claims.run(keyed, lambda: self._drive(placed))
+        self.store_ms = keyed.store_ms
+        if end.row is None:
+            return end
+        answer = claims.read_answer(end.row)
+        if answer is None:
+            return claim_messages.EndClaim(
+                states.Outcome.UNKNOWN, 'answer_unreadable'
+            )
+        return claim_messages.EndClaim(end.outcome, end.reason, answer)
+
+    def _request_hash(self) -> str:
+        digest = hashlib.blake2b(digest_size=16)
+        target = f'{self.service.service}/{self.path}?{self._query()}'
+        for part in (self.context.http.method, target):
+            digest.update(part.encode() + b'\n')
+        digest.update(self.body)
+        return digest.hexdigest()
+
+    def _query(self) -> str:
+        return self.context.http.query_string.decode('latin-1')
+
+    def _drive(self, event: messages.Event) -> messages.EndCall:
+        while True:
+            actions = self.machine.handle(event, self.clock.now_ms())
+            if not actions:
+                event = self._sleep()
+                continue
+            (action,) = actions
+            match action:
+                case messages.EndCall():
+                    return action
+                case messages.Send():
+                    event = self._send(action)
+                case messages.Place(failed):
+                    self.context.dispatch.tell(policy.UpstreamFailed(failed))
+                    event = self._submit(
+                        policy.RetryRequested(self.profile.request, failed)
+                    )
+
+    def _sleep(self) -> messages.Event:
+        wait_ms = self.machine.wake_ms() - self.clock.now_ms()
+        threading.Event().wait(max(wait_ms, 1.0) / clocks.MS_PER_SECOND)
+        return messages.Tick()
+
+    def _submit(
+        self, event: policy.RequestArrived | policy.RetryRequested
+    ) -> messages.Event:
+        started_ms = self.clock.now_ms()
+        future = self.context.dispatch.submit(event)
+        action = self._await(future)
+        self.queue_ms += self.clock.now_ms() - started_ms
+        match action:
+            case policy.Dispatch(_, upstream, crosses):
+                return messages.Placed(upstream, crosses)
+            case policy.Refuse(_, reason, retry_after_ms):
+                return messages.Refused(reason, retry_after_ms)
+        raise TypeError(action)
+
+    def _await(self, future: concurrent.futures.Future) -> policy.Action:
+        request = self.profile.request
+        while True:
+            try:
+                return future.result(QUEUE_POLL_MS / clocks.MS_PER_SECOND)
+            except concurrent.futures.TimeoutError:
+                late = self.clock.now_ms() >= self.machine.deadline_ms
+                if late or self.context.caller.is_gone():
+                    self.context.dispatch.cancel(request)
+                    reason = states.RefusalReason.DEADLINE
+                    return policy.Refuse(
+                        request, reason, DEFAULT_RETRY_AFTER_MS
+                    )
+
+    def _send(self, action: messages.Send) -> messages.Event:
+        query = self._query()
+        url = f'http://{action.upstream.address}/{self.path}'
+        if query:
+            url = f'{url}?{query}'
+        started_ms = self.clock.now_ms()
+        answer = http_client.request(
+            self.context.http.method,
+            url,
+            self.body or None,
+            self._headers(),
+            timeout_ms=action.timeout_ms,
+            # A new connection is also never tried again by the library.
+            fresh_connection=action.proven,
+        )
+        self.upstream_ms += self.clock.now_ms() - started_ms
+        match answer:
+            case result.Ok(done):
+                return messages.Answered(action.attempt, self._take(done))
+            case result.Err(error):
+                return messages.AttemptFailed(action.attempt, error.bytes_left)
+
+    def _headers(self) -> dict[str, str]:
+        given = self.context.http.headers
+        headers = {
+            name: given[name] for name in _PASSED_HEADERS if name in given
+        }
+        headers['X-Request-Id'] = self.context.request
+        return headers
+
+    def _take(self, done: http_client.HttpAnswer) -> messages.Answer:
+        self.bytes_in += len(done.body)
+        echoed = done.headers.get('x-request-id')
+        if echoed is not None and echoed != self.context.request:
+            http_client.close_connections()
+        return messages.Answer(
+            done.status,
+            done.headers.get('content-type', 'application/json'),
+            done.body,
+            echoed and ids.RequestId(echoed),
+        )
+
+    def _answer(self, end: claim_messages.EndClaim) -> wrappers.Response:
+        if end.answer is not None:
+            response = wrappers.Response(end.answer.body, end.answer.status)
+            response.headers['Content-Type'] = end.answer.content_type
+            response.headers['X-Request-Id'] = self.context.request
+            response.headers['X-Outcome'] = end.outcome.value
+            return response
+        message, remedy = _MESSAGES[end.outcome]
+        status = _STATUSES[end.outcome]
+        if end.reason == states.RefusalReason.ACCOUNT_LIMIT.value:
+            status = http.HTTPStatus.TOO_MANY_REQUESTS
+        retry_after_ms = None
+        if end.outcome is states.Outcome.NOT_RUN:
+            retry_after_ms = end.retry_after_ms or DEFAULT_RETRY_AFTER_MS
+        return self.context.refuse(
+            status, end.outcome, end.reason, message, remedy, retry_after_ms
+        )
+
+    def _facts(
+        self, end: claim_messages.EndClaim
+    ) -> kernel_events.PlainCallFacts:
+        upstream = self.machine.upstream
+        return kernel_events.PlainCallFacts(
+            request=self.context.request,
+            service=self.service.service,
+            client_account=self.context.account.client_account,
+            outcome=end.outcome,
+            reason=end.reason,
+            upstream=upstream and upstream.upstream,
+            total_ms=self.clock.now_ms() - self.context.arrived_ms,
+            entry_queue_ms=self.queue_ms,
+            store_ms=self.store_ms,
+            upstream_ms=self.upstream_ms,
+            attempts=self.machine.attempt,
+            bytes_in=self.bytes_in,
+            bytes_out=len(self.body) * self.machine.attempt,
+            crossed_regions=self.machine.crosses_region,
+        )
+
+
+def _unclaimed(end: messages.EndCall) -> claim_messages.EndClaim:
+    return claim_messages.EndClaim(
+        end.outcome,
+        end.reason,
+        answer=end.answer,
+        retry_after_ms=end.retry_after_ms,
+    )
+
+
+def _call_class(
+    service: services_text.Service, method: str, path: str, key: str
+) -> messages.CallClass:
+    if service.is_idempotent(method, f'/{path}'):
+        return messages.CallClass.IDEMPOTENT
+    if key:
+        return messages.CallClass.KEYED
+    return messages.CallClass.ONCE
+
+
+def _row_key(account: ids.ClientAccountId, key: str) -> str:
+    return f'{account}.{hashlib.sha256(key.encode()).hexdigest()}'
+
+
+def _profile(
+    context: contexts.CallContext, service: services_text.Service
+) -> policy.RequestProfile:
+    return policy.RequestProfile(
         request=ids.RequestId(ids.random_id()),
         service=service.service,
         kind=states.ServiceKind.PLAIN,
@@ -38,64 +327,3 @@
         max_tokens=None,
         deadline_ms=context.deadline_ms,
     )
-    action = context.dispatch.submit(policy.RequestArrived(profile)).result()
-    try:
-        match action:
-            case policy.Refuse(_, reason, retry_after_ms):
-                return _not_run(context, reason.value, retry_after_ms)
-            case policy.Dispatch(_, upstream, _):
-                return _send(context, upstream.address, path, service)
-    finally:
-        context.dispatch.tell(policy.RequestEnded(profile.request, True))
-
-
-def _send(
-    context: contexts.CallContext, address: str, path: str, service
-) -> wrappers.Response:
-    http = context.http
-    headers = {
-        name: http.headers[name]
-        for name in _PASSED_HEADERS
-        if name in http.headers
-    }
-    headers['X-Request-Id'] = context.request
-    query = http.query_string.decode('latin-1')
-    url = f'http://{address}/{path}' + (f'?{query}' if query else '')
-    answer = http_client.request(
-        http.method,
-        url,
-        http.get_data() or None,
-        headers,
-        timeout_ms=service.timeout_ms,
-        fresh_connection=not service.is_idempotent(http.method, '/' + path),
-    )
-    match answer:
-        case result.Ok(done):
-            response = wrappers.Response(done.body, done.status)
-            kind = done.headers.get('content-type', 'application/json')
-            response.headers['Content-Type'] = kind
-            response.headers['X-Request-Id'] = context.request
-            return response
-        case result.Err(error) if error.bytes_left:
-            return context.refuse(
-                504,
-                states.Outcome.UNKNOWN,
-                error.code,
-                'no answer came; the call may have run',
-                'find out whether it ran before you repeat it',
-            )
-        case result.Err(error):
-            return _not_run(context, error.code, 1_000)
-
-
-def _not_run(
-    context: contexts.CallContext, code: str, retry_after_ms: float
-) -> wrappers.Response:
-    return context.refuse(
-        503,
-        states.Outcome.NOT_RUN,
-        code,
-        'the call was not run',
-        'repeat it after the time in Retry-After',
-        retry_after_ms,
-    )
--- a/eelgrassknot/frontend/relay.py
+++ b/eelgrassknot/frontend/relay.py
@@ -377,6 +377,13 @@
     return messages.StatusLost(probe)
 
 
-def start_body(request: msgspec.Struct) -> bytes:
-    """Return the body that starts a generation at an engine."""
-    return msgspec.json.encode(msgspec.structs.replace(request, stream=True))
+def start_body(request: msgspec.Struct, model: str) -> bytes:
+    """Return the body that starts a generation at an engine.
+
+    Args:
+        request: The caller's request, whose model is a service's name.
+        model: Model as the engines know it.
+    """
+    return msgspec.json.encode(
+        msgspec.structs.replace(request, model=model, stream=True)
+    )
