--- a/tests/cli/exit_codes.feature
+++ b/tests/cli/exit_codes.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: The command line as a process against a platform
 
   Scenario: a check needs no platform and lists all faults
--- a/tests/reporting/daemon.feature
+++ b/tests/reporting/daemon.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: A daemon's report, metrics and secrets, as processes
 
   Scenario: requests show in the report of all formats, and no secret does
--- a/tests/system/openai_client.feature
+++ b/tests/system/openai_client.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: An unmodified OpenAI client
 
   Scenario: it streams, does not stream, lists models and gets typed errors
--- a/tests/system/rounds.feature
+++ b/tests/system/rounds.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Fault rounds with real processes
 
   Scenario Outline: the invariants hold through a round
