--- a/benchmarks/policy/measures.py
+++ b/benchmarks/policy/measures.py
@@ -75,6 +75,8 @@
         self.arrivals = 0
         self.refusals = 0
         self.early_refusals = 0
+        self.ends = 0
+        self.all_refusals = 0
         self.link_bytes = 0.0
         self.before: dict[str, tuple] = {}
         self.at_start: dict[str, int] = {}
@@ -95,6 +97,7 @@
 
     def refused(self, request, reason, now_ms: float) -> None:
         """Count a refusal."""
+        self.all_refusals += 1
         if request.at_ms < self.from_ms:
             return
         self.refusals += 1
@@ -115,6 +118,7 @@
 
     def ended(self, request, sequence, at_ms: float, whole: bool) -> None:
         """Count a request that has ended."""
+        self.ends += 1
         if at_ms >= self.from_ms:
             self._count(request, sequence.base, sequence.stall_ms)
 
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -108,6 +108,7 @@
         self.vm_of: dict[str, int] = {}
         self.held: dict[str, tuple] = {}
         self.told: dict[str, int] = {}
+        self.under_way = 0
         self.book = measures.Measures(scenario.from_ms, scenario.span_ms)
         self.oracle: baselines.Oracle | None = None
         self._make_engines()
@@ -281,6 +282,7 @@
             case messages.Dispatch(request, info, crosses):
                 delay_ms = REGION_LATENCY_MS if crosses else 0.0
                 if crosses:
+                    self.under_way += 1
                     self._call(
                         now_ms + delay_ms, self._submit, request, info, True
                     )
@@ -292,6 +294,7 @@
     def _submit(self, name: str, info, crosses: bool) -> None:
         request = self.requests[name]
         now_ms = self.clock.now_ms()
+        self.under_way -= crosses
         engine = self.engines[info.upstream]
         sequence = engine_model.Sequence(
             name,
--- a/eelgrassknot/policy/placement.py
+++ b/eelgrassknot/policy/placement.py
@@ -8,8 +8,11 @@
 
 from collections.abc import Sequence
 import dataclasses
+import math
 import random
 
+import xxhash
+
 from eelgrassknot import ids
 from eelgrassknot.policy import engine_view
 from eelgrassknot.policy import health
@@ -135,15 +138,22 @@
             now_ms: The present time.
         """
         best = None
-        best_cost = 0.0
-        for view in self._sample(views):
+        best_cost = math.inf
+        for view in self._sample(views, profile.prefixes):
             allowance = book.allowance(view.info.upstream, now_ms)
-            cost = self._cost(
-                profile, footprint, view, knobs, affinity, allowance, now_ms
-            )
-            if cost is None:
+            others = view.others(self.typical, now_ms)
+            running = len(view.own) + others.running
+            if running and self._is_closed(view, running, allowance):
+                continue
+            cost = self._cost(profile, view, running, knobs, affinity)
+            if cost >= best_cost:
                 continue
-            if best is None or cost < best_cost:
+            total = _total_tokens(view)
+            peak = self._peak(footprint, view, others, knobs)
+            if running and peak > total * USABLE_MEMORY:
+                continue
+            cost += knobs.memory_weight * peak / total
+            if cost < best_cost:
                 best = view
                 best_cost = cost
         return best
@@ -154,42 +164,43 @@
         return int(len(view.own) + others.running)
 
     def _sample(
-        self, views: Sequence[engine_view.EngineView]
+        self,
+        views: Sequence[engine_view.EngineView],
+        prefixes: tuple[str, ...],
     ) -> list[engine_view.EngineView]:
-        if len(views) <= self.options.sampled:
+        count = len(views)
+        if count <= self.options.sampled:
             return list(views)
-        return self.generator.sample(views, self.options.sampled)
+        found = self.generator.sample(views, self.options.sampled)
+        if prefixes and self.options.affinity:
+            # Prompts that begin alike meet again at the same engine, even
+            # where the sample is small against the number of engines.
+            index = xxhash.xxh64_intdigest(prefixes[0].encode()) % count
+            if views[index] not in found:
+                found.append(views[index])
+        return found
+
+    def _is_closed(
+        self, view: engine_view.EngineView, running: float, allowance: float
+    ) -> bool:
+        if len(view.own) >= allowance:
+            return True
+        return self.options.feedback and running >= view.limit.limit
 
     def _cost(
         self,
         profile: messages.RequestProfile,
-        footprint: memory.Footprint,
         view: engine_view.EngineView,
+        running: float,
         knobs: objective.Knobs,
         affinity: prefix.PrefixAffinity,
-        allowance: float,
-        now_ms: float,
-    ) -> float | None:
-        others = view.others(self.typical, now_ms)
-        running = len(view.own) + others.running
-        limit = view.limit.limit if self.options.feedback else 1e9
-        if running >= 1 and (running >= limit or len(view.own) >= allowance):
-            return None
-        total = KNOWN_TOTAL_TOKENS
-        if view.load is not None:
-            total = view.load.kv_tokens_total
-        peak = self._peak(footprint, view, others, knobs)
-        if running >= 1 and peak > total * USABLE_MEMORY:
-            return None
+    ) -> float:
+        name = view.info.upstream
         uncovered = profile.prompt_tokens
         if self.options.affinity:
-            uncovered -= affinity.covered_tokens(
-                view.info.upstream, profile.prefixes
-            )
-        cost = knobs.memory_weight * peak / total
-        cost += knobs.batch_weight * running / view.limit.limit
+            uncovered -= affinity.covered_tokens(name, profile.prefixes)
+        cost = knobs.batch_weight * running / view.limit.limit
         cost += max(0, uncovered) / PREFILL_SCALE_TOKENS
-        name = view.info.upstream
         if self.options.lane and not self.lane.fits(name, uncovered):
             cost += knobs.lane_weight
         if view.info.availability_zone != self.availability_zone:
@@ -211,6 +222,12 @@
         return own.peak_with(others.forecast, footprint, deviations)
 
 
+def _total_tokens(view: engine_view.EngineView) -> int:
+    if view.load is None:
+        return KNOWN_TOTAL_TOKENS
+    return view.load.kv_tokens_total
+
+
 def _unlearned() -> memory.MemoryForecast:
     forecast = memory.MemoryForecast()
     length_class = length.LengthPredictor().length_class('', '', 0, 0.0)
--- /dev/null
+++ b/tests/policy/health.feature
@@ -0,0 +1,32 @@
+Feature: Sick upstreams are ejected, tried again and never all at once
+
+  Scenario: three failures in a row eject, a success between does not
+    Given 4 upstreams
+    When "a" fails, fails, succeeds, fails, fails
+    Then "a b c d" are in use
+    When "a" fails, fails, fails
+    Then "b c d" are in use
+
+  Scenario: an ejected upstream returns on trial and goes at once if it fails
+    Given 4 upstreams
+    When "a" fails, fails, fails
+    And 6000 ms of ejection pass
+    Then "a b c d" are in use
+    And "a" may run 2 requests at first
+    When "a" fails
+    Then "b c d" are in use
+
+  Scenario: an upstream that is slow against its peers is ejected
+    Given 4 upstreams
+    When "a" takes 90 ms a token and the others 30 ms
+    Then "b c d" are in use
+
+  Scenario: when all are equally slow none is ejected
+    Given 4 upstreams
+    When "a" takes 90 ms a token and the others 90 ms
+    Then "a b c d" are in use
+
+  Scenario: at least half of the upstreams stay in use
+    Given 4 upstreams
+    When all four fail three times
+    Then 2 are in use
--- /dev/null
+++ b/tests/policy/limits.feature
@@ -0,0 +1,29 @@
+Feature: Limits of an account hold over all entry VMs
+
+  Scenario: VMs with equal demand together let through the limit
+    Given 6 VMs that share a limit of 12 requests a second
+    When each VM sees 10 requests a second for 30 s
+    Then together they let through 12 a second within 10 percent
+
+  Scenario: shares follow demand
+    Given 6 VMs that share a limit of 12 requests a second
+    When one VM sees 20 requests a second for 30 s and the others none
+    Then that VM lets through 12 a second within 15 percent
+
+  Scenario: a VM that is cut off keeps its last share
+    Given 6 VMs that share a limit of 12 requests a second
+    When each VM sees 10 requests a second for 30 s
+    And the VMs are cut off from each other
+    And each VM sees 10 requests a second for 30 s
+    Then together they let through 12 a second within 10 percent
+
+  Scenario: a move of demand overshoots by no more than is stated
+    Given 6 VMs that share a limit of 12 requests a second
+    When each VM sees 10 requests a second for 30 s
+    And one VM sees 60 requests a second for 10 s and the others none
+    Then the excess is below one exchange and one burst a VM
+
+  Scenario: tokens are charged as they stream
+    Given an account limited to 600 tokens a minute
+    When it streams 300 tokens
+    Then its next request is refused for 19 to 21 s
--- /dev/null
+++ b/tests/policy/small_parts.feature
@@ -0,0 +1,40 @@
+Feature: Fairness, prefixes, link, lane and concurrency
+
+  Scenario: a small account is served by its weight while a large one floods
+    Given accounts "large" of weight 3 and "small" of weight 1 that both queue
+    When 4000 requests are served in order of the counters
+    Then "small" got 25 percent of the tokens within 1 percent
+
+  Scenario: an account that was idle does not hoard the time it was away
+    Given accounts "large" of weight 3 and "small" of weight 1 that both queue
+    When only "large" is served 1000 times and then "small" returns
+    Then "small" is not served more than 2 times in a row
+
+  Scenario: batch work is not starved by interactive work
+    Given a queue with batch work that has waited 30 s and fresh interactive work
+    Then the batch work of the account served least goes next
+
+  Scenario: a full queue turns away the newest of the account that fills it
+    Given a queue that one account has filled
+    When another account queues a request
+    Then the first account loses its newest request
+
+  Scenario: cache events correct what was believed of prefixes
+    Given an engine that was sent a prompt with 4 prefixes
+    Then 256 of its tokens are covered
+    When the engine says that it evicted the last 2 prefixes
+    Then 128 of its tokens are covered
+
+  Scenario: the link's budget is kept over any run of spill-overs
+    Then for any run of requests granted bytes stay within rate and burst
+
+  Scenario: all VMs agree which engines long prompts prefer
+    Given 10 engines known in two different orders
+    Then both orders give the same 2 engines for long prompts
+
+  Scenario: preemptions lower the limit and quiet time raises it again
+    Given a concurrency limit at an engine that runs 40 requests
+    When the engine preempts
+    Then the limit is 36
+    When 20 quiet seconds pass
+    Then the limit is between 40 and 50
--- /dev/null
+++ b/tests/steps/policy_small_parts.py
@@ -0,0 +1,208 @@
+"""Steps on the smaller parts of the policy."""
+
+import collections
+import random
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from eelgrassknot.policy import admission
+from eelgrassknot.policy import concurrency
+from eelgrassknot.policy import fairness
+from eelgrassknot.policy import messages
+from eelgrassknot.policy import prefill_lane
+from eelgrassknot.policy import prefix
+from eelgrassknot.policy import region_budget
+from eelgrassknot.settings import text as services_text
+from eelgrassknot import states
+
+INTERACTIVE = states.Priority.INTERACTIVE
+BATCH = states.Priority.BATCH
+
+
+def queued(name, account, priority=INTERACTIVE, arrived_ms=0.0):
+    profile = messages.RequestProfile(
+        name,
+        'writer',
+        states.ServiceKind.ENGINE,
+        account,
+        priority,
+        100,
+        (),
+        None,
+        None,
+    )
+    return admission.QueuedRequest(profile, arrived_ms, 1e9)
+
+
+@behave.given(
+    'accounts "large" of weight 3 and "small" of weight 1 that both queue'
+)
+def given_accounts(context):
+    context.counters = fairness.TokenCounters()
+    context.counters.weights = {'large': 3.0, 'small': 1.0}
+    context.accounts = ['large', 'small']
+
+
+@behave.when('{count:d} requests are served in order of the counters')
+def served_in_order(context, count):
+    generator = random.Random(3)
+    context.tokens = collections.Counter()
+    for _ in range(count):
+        account = context.counters.lowest(context.accounts)
+        tokens = generator.randint(1, 2_000)
+        context.tokens[account] += tokens
+        context.counters.charge(account, tokens)
+
+
+@behave.then('"small" got {share:d} percent of the tokens within 1 percent')
+def got_share(context, share):
+    found = 100 * context.tokens['small'] / sum(context.tokens.values())
+    assert abs(found - share) <= 1, found
+
+
+@behave.when('only "large" is served {count:d} times and then "small" returns')
+def only_large(context, count):
+    for _ in range(count):
+        context.counters.charge('large', 100)
+    context.counters.lift('small', ['large'])
+
+
+@behave.then('"small" is not served more than {count:d} times in a row')
+def not_in_a_row(context, count):
+    row = 0
+    while context.counters.lowest(context.accounts) == 'small':
+        row += 1
+        context.counters.charge('small', 100)
+    assert row <= count, row
+
+
+@behave.given(
+    'a queue with batch work that has waited 30 s and fresh interactive work'
+)
+def given_batch(context):
+    counters = fairness.TokenCounters()
+    counters.charge('busy', 1_000)
+    context.queue = admission.EntryQueue(counters)
+    context.queue.push(queued('old', 'idle', BATCH, 0.0))
+    counters.counters['idle'] = 0.0
+    context.queue.push(queued('new', 'busy', INTERACTIVE, 30_000.0))
+
+
+@behave.then('the batch work of the account served least goes next')
+def batch_next(context):
+    assert context.queue.head(1_000.0).profile.request == 'new'
+    assert context.queue.head(30_000.0).profile.request == 'old'
+
+
+@behave.given('a queue that one account has filled')
+def given_full(context):
+    context.queue = admission.EntryQueue(fairness.TokenCounters())
+    for index in range(admission.MAX_QUEUED):
+        assert context.queue.push(queued(f'r{index}', 'flood')) is None
+
+
+@behave.when('another account queues a request')
+def another_queues(context):
+    context.loser = context.queue.push(queued('one', 'small'))
+
+
+@behave.then('the first account loses its newest request')
+def loses_newest(context):
+    last = f'r{admission.MAX_QUEUED - 1}'
+    assert context.loser.profile.request == last
+    assert context.queue.size == admission.MAX_QUEUED
+    assert context.queue.find('one') is not None
+
+
+@behave.given('an engine that was sent a prompt with 4 prefixes')
+def given_prefixes(context):
+    context.affinity = prefix.PrefixAffinity()
+    context.affinity.stored('engine', ('a', 'b', 'c', 'd'))
+
+
+@behave.when('the engine says that it evicted the last 2 prefixes')
+def evicted(context):
+    context.affinity.evicted('engine', ('d', 'c', 'never seen'))
+
+
+@behave.then('{tokens:d} of its tokens are covered')
+def covered(context, tokens):
+    prompt = ('a', 'b', 'c', 'd', 'e')
+    assert context.affinity.covered_tokens('engine', prompt) == tokens
+
+
+@behave.then(
+    'for any run of requests granted bytes stay within rate and burst'
+)
+def link_kept(context):
+    sizes = strategies.lists(
+        strategies.tuples(
+            strategies.floats(0, 2_000), strategies.floats(1, 1e6)
+        ),
+        max_size=60,
+    )
+
+    @hypothesis.settings(max_examples=60, derandomize=True, deadline=None)
+    @hypothesis.given(sizes)
+    def check(steps):
+        budget = region_budget.RegionBudget()
+        budget.configure(services_text.RegionLink(), 7, 0.0)
+        rate = 15_000_000 / 8 * region_budget.SPILL_SHARE / 7
+        now_ms = 0.0
+        largest = 0.0
+        for wait_ms, size in steps:
+            now_ms += wait_ms
+            largest = max(largest, size)
+            if budget.has_room(size, now_ms):
+                budget.spend(size, now_ms)
+        allowed = rate * (now_ms / 1_000 + region_budget.BURST_S)
+        assert budget.spilled_bytes <= allowed + largest + 1
+
+    check()
+
+
+@behave.given('10 engines known in two different orders')
+def given_orders(context):
+    names = [f'engine-{index}' for index in range(10)]
+    context.lanes = []
+    for order in (names, names[::-1]):
+        lane = prefill_lane.LongPromptLane()
+        lane.assign(order)
+        context.lanes.append(lane)
+
+
+@behave.then('both orders give the same 2 engines for long prompts')
+def same_lane(context):
+    first, second = context.lanes
+    assert first.members == second.members and len(first.members) == 2
+
+
+@behave.given('a concurrency limit at an engine that runs 40 requests')
+def given_limit(context):
+    context.limit = concurrency.ConcurrencyLimit()
+    context.now_ms = 5_000.0
+
+
+@behave.when('the engine preempts')
+def engine_preempts(context):
+    context.limit.preempted(40, context.now_ms)
+
+
+@behave.when('{count:d} quiet seconds pass')
+def quiet_seconds(context, count):
+    for _ in range(count):
+        context.now_ms += 1_000.0
+        running = int(context.limit.limit)
+        context.limit.quiet(running, context.now_ms)
+
+
+@behave.then('the limit is {limit:d}')
+def limit_is(context, limit):
+    assert context.limit.limit == limit, context.limit.limit
+
+
+@behave.then('the limit is between {low:d} and {high:d}')
+def limit_between(context, low, high):
+    assert low <= context.limit.limit <= high, context.limit.limit
