--- a/tests/cli/exit_codes.feature
+++ b/tests/cli/exit_codes.feature
@@ -83,12 +83,23 @@
       | report --since yesterday    | cannot read the time |
       | init nadroga                | Missing argument 'directory' |
 
-  Scenario: an example is never written over another
+  Scenario: an unknown outcome is said, and the repeat is accepted once
     Given the directory of the example "nadroga"
-    When the operator runs "init nadroga ."
-    Then the command ends with 1 and its errors say "not empty"
+    And a platform
+    And the platform answers no commit clearly
+    When the operator runs "config accept --change c9 text.json"
+    Then the command ends with 3 and its errors say "change id c9"
+    When the platform is well again
+    And the operator runs "config accept --change c9 text.json"
+    Then the command ends with 0 and prints "accepted version 1"
+    When the operator runs "config accept --change c9 text.json"
+    Then the command ends with 0 and prints "accepted version 1"
 
-  Scenario: what an example writes is private, and its keys open the text
-    Given the directory of the example "lagotermica"
-    Then nobody else may read its files
+  Scenario: an example is private, opens with its keys, and overwrites nothing
+    Given an empty directory
+    When the operator runs "init lagotermica --json ."
+    Then the command ends with 0 and prints JSON with 10 entries
+    And nobody else may read its files
     And each printed key has its hash in the text
+    When the operator runs "init nadroga ."
+    Then the command ends with 1 and its errors say "not empty"
--- a/tests/cli_process.py
+++ b/tests/cli_process.py
@@ -6,6 +6,9 @@
 import sys
 import urllib.request
 
+from eelgrassknot.settings import example_files
+from eelgrassknot.settings import examples
+
 __all__ = ['PlatformProcess', 'run_cli', 'write_example']
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -31,13 +34,14 @@
     )
 
 
-def write_example(name, directory, *options):
+def write_example(name, directory):
     """Write an example and return the keys of its client accounts."""
-    done = run_cli(
-        ['init', name, str(directory), '--json', *options], directory
+    deployment = examples.DEPLOYMENTS.lookup(name)
+    example = examples.create(
+        deployment, 'http://127.0.0.1:9000', '127.0.0.1', 18_080
     )
-    assert done.returncode == 0, done.stderr
-    return json.loads(done.stdout)
+    example_files.write(example, directory)
+    return example.account_keys
 
 
 class PlatformProcess:
@@ -63,5 +67,9 @@
     def stop(self):
         """End the process."""
         self.process.terminate()
-        self.process.wait(TIMEOUT_S)
+        try:
+            self.process.wait(TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
         self.process.stdout.close()
--- a/tests/steps/cli_exit_codes.py
+++ b/tests/steps/cli_exit_codes.py
@@ -14,11 +14,16 @@
 
 @behave.given('the directory of the example "{name}"')
 def given_directory(context, name):
+    given_empty_directory(context)
+    cli_process.write_example(name, context.directory)
+
+
+@behave.given('an empty directory')
+def given_empty_directory(context):
     directory = tempfile.TemporaryDirectory()
     context.add_cleanup(directory.cleanup)
     context.directory = pathlib.Path(directory.name)
     context.platform_url = ''
-    context.keys = cli_process.write_example(name, context.directory)
 
 
 @behave.given('a platform')
@@ -40,6 +45,18 @@
     context.platform.send('POST', '/control', fault)
 
 
+@behave.given('the platform answers no commit clearly')
+def answers_nothing_clearly(context):
+    fault = {'refuse_writes': {'probability': 1.0, 'following': 0}}
+    context.platform.send('POST', '/control', fault)
+
+
+@behave.when('the platform is well again')
+def platform_well(context):
+    fault = {'refuse_writes': {'probability': 0.0, 'following': 0}}
+    context.platform.send('POST', '/control', fault)
+
+
 @behave.when('the operator runs "{command}"')
 def run_command(context, command):
     context.done = cli_process.run_cli(
@@ -146,5 +163,5 @@
     }
     assert hashes == {
         name: hashlib.sha256(key.encode()).hexdigest()
-        for name, key in context.keys.items()
+        for name, key in json.loads(context.done.stdout).items()
     }
