--- /dev/null
+++ b/benchmarks/coordination/counting_relay.py
@@ -0,0 +1,55 @@
+"""TCP relay that counts the bytes that it passes."""
+
+import socket
+import threading
+
+__all__ = ['CountingRelay']
+
+CHUNK_BYTES = 65_536
+
+
+class CountingRelay:
+    """Passes bytes between callers and one target.
+
+    Args:
+        target: ``IP:port`` of the target.
+
+    Attributes:
+        address: Where it listens.
+        bytes: How many bytes it has passed, both ways together.
+    """
+
+    def __init__(self, target: str) -> None:
+        host, port = target.rsplit(':', 1)
+        self.target = (host, int(port))
+        self.listener = socket.create_server(('127.0.0.1', 0), backlog=512)
+        self.address = '127.0.0.1:%d' % self.listener.getsockname()[1]
+        self.bytes = 0
+        self.lock = threading.Lock()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            far = socket.create_connection(self.target)
+            for ends in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._pass, args=ends, daemon=True
+                ).start()
+
+    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                with self.lock:
+                    self.bytes += len(data)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
--- a/eelgrassknot/coordination/membership.py
+++ b/eelgrassknot/coordination/membership.py
@@ -144,19 +144,20 @@
             now_ms: The present time of this VM's clock.
 
         Returns:
-            Whether the state of any peer has changed.
+            Whether the state or the address of any peer has changed.
         """
         match event:
             case HeartbeatHeard():
-                self._heard(event, now_ms)
+                return self._heard(event, now_ms)
             case PeerAddress(vm):
-                if vm != self.vm:
-                    self._introduced(event, now_ms)
+                return vm != self.vm and self._introduced(event, now_ms)
             case ListRead(entries):
                 self._read(entries)
+                return self._judge(now_ms)
             case Tick():
                 self._excuse_pause(now_ms)
-        return self._judge(now_ms)
+                return self._judge(now_ms)
+        return False
 
     def live(self) -> list[ids.VmId]:
         """Return the peers that are heard and may be given work."""
@@ -200,21 +201,23 @@
     def _peer(self, vm: ids.VmId) -> Peer:
         return self.peers.setdefault(vm, Peer(vm))
 
-    def _introduced(self, event: PeerAddress, now_ms: float) -> None:
+    def _introduced(self, event: PeerAddress, now_ms: float) -> bool:
         peer = self._peer(event.vm)
+        changed = peer.place != event
         peer.place = event
         peer.introduced_ms = now_ms
+        return changed
 
-    def _heard(self, event: HeartbeatHeard, now_ms: float) -> None:
+    def _heard(self, event: HeartbeatHeard, now_ms: float) -> bool:
         if event.vm == self.vm or event.incarnation in self.retired:
-            return
+            return False
         peer = self._peer(event.vm)
         if peer.incarnation != event.incarnation:
             if not self._replaces(event, peer):
-                return
+                return False
             self._start_incarnation(peer, event)
         if event.sequence <= peer.sequence:
-            return
+            return False
         peer.sequence = event.sequence
         peer.unheard = event.unheard
         peer.leaving = peer.leaving or event.leaving
@@ -222,6 +225,9 @@
         if peer.state is PeerState.GONE:
             peer.detector = suspicion.Suspicion(EXPECTED_GAP_MS)
         peer.detector.heard(now_ms)
+        # Only the sender is judged anew: with all of them, the cost of
+        # heartbeats would grow with the square of the zone's size.
+        return self._judge_peer(peer, now_ms)
 
     def _replaces(self, event: HeartbeatHeard, peer: Peer) -> bool:
         if peer.state in (PeerState.LISTED, PeerState.GONE):
@@ -270,11 +276,16 @@
     def _judge(self, now_ms: float) -> bool:
         changed = False
         for peer in list(self.peers.values()):
-            state = self._state_of(peer, now_ms)
-            changed = changed or state is not peer.state
-            peer.state = state
+            changed = self._judge_peer(peer, now_ms) or changed
             if self._is_forgotten(peer, now_ms):
                 del self.peers[peer.vm]
+                changed = True
+        return changed
+
+    def _judge_peer(self, peer: Peer, now_ms: float) -> bool:
+        state = self._state_of(peer, now_ms)
+        changed = state is not peer.state
+        peer.state = state
         return changed
 
     def _state_of(self, peer: Peer, now_ms: float) -> PeerState:
--- a/eelgrassknot/coordination/membership_part.py
+++ b/eelgrassknot/coordination/membership_part.py
@@ -24,7 +24,7 @@
 
 __all__ = ['EntryVmsChanged', 'MembershipPart', 'VmListRead']
 
-TICK_MS = 100.0
+TICK_MS = 125.0
 LIST_POLL_MS = 2_000.0
 FAR_INTERVAL_MS = 2_000.0
 INTRODUCTION_MS = 10_000.0
@@ -80,6 +80,7 @@
         )
         self.lock = threading.Lock()
         self.links = links.Links({}, {})
+        self.seen: dict[ids.VmId, memberships.PeerState] = {}
         self.announced: EntryVmsChanged | None = None
         self.payload: PayloadSource | None = None
         self.far_loads: collections.abc.Callable[[], tuple] = tuple
@@ -207,15 +208,15 @@
     def _apply(self, event: memberships.Event) -> None:
         now_ms = self.node.clock.now_ms()
         with self.lock:
-            before = _states(self.membership)
             changed = self.membership.handle(event, now_ms)
-            after = _states(self.membership)
-        if changed or isinstance(
-            event, memberships.ListRead | memberships.PeerAddress
-        ):
-            self._changed(before, after)
+        if changed or isinstance(event, memberships.ListRead):
+            self._changed()
 
-    def _changed(self, before: dict, after: dict) -> None:
+    def _changed(self) -> None:
+        with self.lock:
+            before = self.seen
+            after = _states(self.membership)
+            self.seen = after
         for vm, state in after.items():
             if before.get(vm) is not state:
                 logs.event('peer_state', peer=vm, state=state.value)
--- a/eelgrassknot/coordination/upstream_membership.py
+++ b/eelgrassknot/coordination/upstream_membership.py
@@ -70,6 +70,7 @@
     Example:
         >>> membership = UpstreamMembership()
         >>> membership.handle(ListRead(()))
+        False
         >>> membership.upstreams()
         ()
     """
@@ -80,20 +81,24 @@
         self.unreachable: set[ids.UpstreamId] = set()
         self.withheld: frozenset[ids.UpstreamId] = frozenset()
 
-    def handle(self, event: Event) -> None:
-        """Take in one event."""
+    def handle(self, event: Event) -> bool:
+        """Take in one event.
+
+        Returns:
+            Whether the upstreams may have changed by it. Almost all
+            events say what is known, and must cost little.
+        """
         match event:
             case ListRead(entries):
-                self._read(entries)
+                return self._read(entries)
             case LeavingHeard(upstream, address):
-                self._leave(upstream, address)
-            case Reachable(upstream, True):
-                self.unreachable.discard(upstream)
-            case Reachable(upstream, False):
-                if upstream in self.listed:
-                    self.unreachable.add(upstream)
+                return self._leave(upstream, address)
+            case Reachable(upstream, reachable):
+                return self._reach(upstream, reachable)
             case Withheld(upstreams):
+                changed = self.withheld != upstreams
                 self.withheld = upstreams
+                return changed
 
     def upstreams(self) -> tuple[events.UpstreamInfo, ...]:
         """Return all upstreams, in order of their names."""
@@ -108,12 +113,15 @@
             return True
         return upstream in self.unreachable
 
-    def _read(self, entries: collections.abc.Sequence[base.VmEntry]) -> None:
-        self.listed = {
+    def _read(self, entries: collections.abc.Sequence[base.VmEntry]) -> bool:
+        listed = {
             ids.UpstreamId(entry.vm): entry
             for entry in entries
             if entry.kind is not states.VmKind.ENTRY
         }
+        if listed == self.listed:
+            return False
+        self.listed = listed
         for upstream, address in list(self.leaving.items()):
             entry = self.listed.get(upstream)
             if entry is None or _address(entry) != address:
@@ -122,13 +130,27 @@
         for upstream, entry in self.listed.items():
             if entry.state is states.UpstreamState.LEAVING:
                 self._leave(upstream, _address(entry))
+        return True
 
-    def _leave(self, upstream: ids.UpstreamId, address: str) -> None:
+    def _leave(self, upstream: ids.UpstreamId, address: str) -> bool:
         entry = self.listed.get(upstream)
         # What was said of an earlier incarnation is not held against
         # the one that has taken its place.
-        if entry is not None and _address(entry) == address:
-            self.leaving[upstream] = address
+        if entry is None or _address(entry) != address:
+            return False
+        if upstream in self.leaving:
+            return False
+        self.leaving[upstream] = address
+        return True
+
+    def _reach(self, upstream: ids.UpstreamId, reachable: bool) -> bool:
+        if reachable == (upstream not in self.unreachable):
+            return False
+        if reachable:
+            self.unreachable.discard(upstream)
+        elif upstream in self.listed:
+            self.unreachable.add(upstream)
+        return True
 
     def _info(
         self, upstream: ids.UpstreamId, entry: base.VmEntry
--- a/eelgrassknot/coordination/upstreams_part.py
+++ b/eelgrassknot/coordination/upstreams_part.py
@@ -27,7 +27,8 @@
     def tell(self, event: upstream_membership.Event) -> None:
         """Take in an event; publish the upstreams if any has changed."""
         with self.lock:
-            self.membership.handle(event)
+            if not self.membership.handle(event):
+                return
             upstreams = self.membership.upstreams()
             if upstreams == self.upstreams:
                 return
