--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -158,6 +158,7 @@
         for service in context.text.services
         if service.kind is states.ServiceKind.ENGINE
         and service.service in context.account.services
+        and context.dispatch.is_offered(service.service)
     ]
     body = msgspec.json.encode(openai.ModelList(entries))
     return wrappers.Response(body, mimetype='application/json')
--- a/eelgrassknot/frontend/dispatching.py
+++ b/eelgrassknot/frontend/dispatching.py
@@ -84,6 +84,10 @@
             self.waiting.pop(request, None)
         self.tell(messages.RequestCancelled(request))
 
+    def is_offered(self, service: ids.ServiceName) -> bool:
+        """Return whether all that a service depends on is available."""
+        return service not in self.dispatcher.unavailable
+
     def _tick(self) -> None:
         while not self.stopped.wait(TICK_MS / 1000):
             self.tell(messages.Tick())
--- a/eelgrassknot/policy/dispatcher.py
+++ b/eelgrassknot/policy/dispatcher.py
@@ -10,6 +10,7 @@
 from eelgrassknot.policy import health
 from eelgrassknot.policy import limits
 from eelgrassknot.policy import messages
+from eelgrassknot.policy import offering
 from eelgrassknot.policy import placement
 from eelgrassknot.policy import plain
 from eelgrassknot.policy import region_budget
@@ -90,6 +91,8 @@
         self.retries: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self.text: services_text.ServicesText | None = None
         self.withheld: frozenset = frozenset()
+        self.upstreams: tuple[kernel_events.UpstreamInfo, ...] = ()
+        self.unavailable: dict[ids.ServiceName, ids.ServiceName] = {}
         self.vm_count = 1
 
     def handle(
@@ -182,6 +185,14 @@
     def _arrived(
         self, profile: messages.RequestProfile, now_ms: float
     ) -> list[messages.Action]:
+        if profile.service in self.unavailable:
+            return [
+                messages.Refuse(
+                    profile.request,
+                    states.RefusalReason.DEPENDENCY,
+                    RETRY_AFTER_MS,
+                )
+            ]
         wait_ms = self.limits.admit(profile.client_account, now_ms)
         if wait_ms > 0:
             return [
@@ -292,6 +303,8 @@
         upstreams: tuple[kernel_events.UpstreamInfo, ...],
         now_ms: float,
     ) -> list[messages.Action]:
+        self.upstreams = upstreams
+        self._offer()
         by_service: dict[ids.ServiceName, list] = {
             name: [] for name in self.pools
         }
@@ -313,6 +326,7 @@
     ) -> None:
         self.text = text
         self.withheld = frozenset(text.withheld_upstreams)
+        self._offer()
         self.counters.weights = {
             account.client_account: account.weight
             for account in text.client_accounts
@@ -324,6 +338,12 @@
             if service is not None:
                 pool.configure(service, self.withheld)
 
+    def _offer(self) -> None:
+        if self.text is not None:
+            self.unavailable = offering.unavailable_dependencies(
+                self.text, self.upstreams
+            )
+
     def _pool(self, name: ids.ServiceName) -> engine_pool.EnginePool:
         pool = self.pools.get(name)
         if pool is not None:
