--- /dev/null
+++ b/standins/degradation.py
@@ -0,0 +1,79 @@
+"""What was served while a fault lasted, beside what was served before."""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+from standins import history as histories
+
+__all__ = ['Served', 'Window', 'served']
+
+P95 = 0.95
+
+
+@dataclasses.dataclass(frozen=True)
+class Window:
+    """When a round's faults began and were healed, in milliseconds.
+
+    Attributes:
+        cut_off: Entry VMs of a zone that was cut off.
+    """
+
+    begin_ms: float
+    end_ms: float
+    cut_off: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Served:
+    """Outcomes of the requests that began in some span of time."""
+
+    name: str
+    outcomes: collections.Counter
+    p95_ms: float
+
+    def __str__(self) -> str:
+        counts = ','.join(
+            f'{name}:{n}' for name, n in sorted(self.outcomes.items())
+        )
+        return f'{self.name} {counts or "none"} done_p95_ms={self.p95_ms:.0f}'
+
+
+def served(history: histories.History, window: Window) -> list[Served]:
+    """Return what was served before the faults and while they lasted.
+
+    Args:
+        history: Records of a round.
+        window: When its faults lasted.
+    """
+    kinds = (
+        ('streams', [(s, s.vms[0]) for s in history.streams if s.vms]),
+        ('calls', [(c, c.vm) for c in history.calls if c.vm]),
+    )
+    rows = []
+    for kind, records in kinds:
+        before = [r for r, _ in records if r.started_ms < window.begin_ms]
+        rows.append(_row(f'{kind}_before', before))
+        during = [
+            (r, vm)
+            for r, vm in records
+            if window.begin_ms <= r.started_ms < window.end_ms
+        ]
+        outside = [r for r, vm in during if vm not in window.cut_off]
+        rows.append(_row(f'{kind}_during', outside))
+        if window.cut_off:
+            inside = [r for r, vm in during if vm in window.cut_off]
+            rows.append(_row(f'{kind}_during_in_cut_off_zone', inside))
+    return rows
+
+
+def _row(name: str, records: collections.abc.Sequence) -> Served:
+    outcomes = collections.Counter(r.outcome for r in records)
+    times_ms = sorted(
+        r.ended_ms - r.started_ms for r in records if r.outcome == 'done'
+    )
+    if not times_ms:
+        return Served(name, outcomes, 0.0)
+    place = max(0, math.ceil(P95 * len(times_ms)) - 1)
+    return Served(name, outcomes, times_ms[place])
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -18,6 +18,7 @@
 DRAIN_TIMEOUT_S = 60.0
 SLOWDOWN = 6.0
 PLAIN_PROBABILITY = 0.3
+STALLED_LINK_BITS_PER_SECOND = 100_000.0
 
 Heal = collections.abc.Callable[[], None]
 
@@ -236,6 +237,11 @@
     links.append(f'{zone}>{zones[0]}>{clusters.PLATFORM}')
     links = [link for link in links if not link.startswith('callers')]
     scene.log.note(f'cut off {zone}')
+    scene.log.cut_off |= {
+        vm
+        for vm, settings in scene.cluster.settings.items()
+        if settings.availability_zone == zone
+    }
     scene.cluster.fault(links, black_hole='all')
 
     def heal() -> None:
@@ -244,6 +250,56 @@
     return heal
 
 
+@_fault('region_link_stalls', harmless=True)
+def _region_link_stalls(scene: Scene) -> Heal:
+    scene.log.note('the link between regions is throttled')
+    proxy = scene.cluster.proxy.address
+    slow = {clusters.LINK_GROUP: STALLED_LINK_BITS_PER_SECOND}
+    whole = {clusters.LINK_GROUP: scene.cluster.shape.link_bits_per_second}
+    processes.ask(proxy, 'POST', '/groups', slow)
+
+    def heal() -> None:
+        processes.ask(proxy, 'POST', '/groups', whole)
+
+    return heal
+
+
+@_fault('peers_black_hole', harmless=True)
+def _peers_black_hole(scene: Scene) -> Heal:
+    vm = scene.daemon()
+    scene.log.note(f'open connections of peers to {vm} fall silent')
+    links = [f'{zone}>' for zone in scene.cluster.regions]
+    zone = scene.cluster.settings[vm].availability_zone
+    targets = [f'{link}{zone}>{vm}' for link in links]
+    scene.cluster.fault(targets, black_hole='old')
+    return lambda: None
+
+
+@_fault('upstream_half_close', harmless=True)
+def _upstream_half_close(scene: Scene) -> Heal:
+    vm = scene.upstream(states.VmKind.ENGINE).vm
+    scene.log.note(f'open connections to {vm} are closed towards readers')
+    scene.cluster.fault([f'>{vm}'], half_close=True)
+    return lambda: None
+
+
+@_fault('vm_list_lags', harmless=True)
+def _vm_list_lags(scene: Scene) -> Heal:
+    scene.log.note('the list of VMs lags by an hour')
+    platform = scene.cluster.platform
+    scene.cluster.control(platform, {'vm_list_lag_ms': 3_600_000.0})
+    return lambda: scene.cluster.control(platform, {'vm_list_lag_ms': 0.0})
+
+
+@_fault('engine_forgets', harmless=True)
+def _engine_forgets(scene: Scene) -> Heal:
+    upstream = scene.upstream(states.VmKind.ENGINE)
+    scene.log.note(f'{upstream.vm} forgets its generations')
+    address = upstream.child.address
+    processes.ask(address, 'POST', '/control/forget', {})
+    return lambda: None
+
+
 @_fault('slow_engine', harmless=True)
 def _slow_engine(scene: Scene) -> Heal:
     upstream = scene.upstream(states.VmKind.ENGINE)
--- a/standins/recorder.py
+++ b/standins/recorder.py
@@ -6,6 +6,7 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot import states
 from standins import cluster as clusters
+from standins import degradation
 from standins import history as histories
 from standins import processes
 
@@ -25,6 +26,8 @@
         draining: VMs that were told to drain and have not been replaced.
         events: What the round did, with times in milliseconds.
         drains: Begin and end of each drain, by VM.
+        cut_off: Entry VMs of a zone that was cut off.
+        window: When the faults lasted.
     """
 
     def __init__(self, cluster: clusters.Cluster) -> None:
@@ -35,6 +38,8 @@
         self.draining: set[str] = set()
         self.drains: dict[str, list[float]] = collections.defaultdict(list)
         self.gathered: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.window = degradation.Window(0.0, 0.0)
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._poll, daemon=True)
 
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -12,6 +12,7 @@
 from standins import callers as load
 from standins import checkers
 from standins import cluster as clusters
+from standins import degradation
 from standins import faults
 from standins import history as histories
 from standins import recorder
@@ -63,6 +64,7 @@
     violations: tuple[checkers.Violation, ...]
     seconds: float
     trace: pathlib.Path
+    served: tuple[degradation.Served, ...]
 
     def __str__(self) -> str:
         word = 'violated' if self.violations else 'held'
@@ -105,7 +107,8 @@
         drawn = self.generator.choice(sorted(PATHS))
         self.deployment = deployment or drawn
         count = self.generator.choice((1, 2))
-        drawn_names = self.generator.sample(sorted(faults.FAULTS), count)
+        # The same fault may strike twice.
+        drawn_names = self.generator.choices(sorted(faults.FAULTS), k=count)
         self.names = tuple(names or drawn_names)
         shape = clusters.shape_of(self.deployment, daemon_module)
         self.shape = clusters.smaller(shape) if is_small else shape
@@ -133,6 +136,7 @@
             violations,
             time.monotonic() - began_s,
             self.directory,
+            tuple(degradation.served(history, log.window)),
         )
 
     def _load_and_harm(
@@ -146,12 +150,16 @@
         callers.start(self.pace.stream_callers, self.pace.plain_callers)
         self._pause(cluster, callers, self.pace.warm_up_s)
         self._change_text(cluster, log)
+        begin_ms = log.clock.now_ms()
         heals = self._harm(cluster, callers, log)
         self._pause(
             cluster,
             callers,
             self.generator.uniform(self.pace.min_hold_s, self.pace.max_hold_s),
         )
+        log.window = degradation.Window(
+            begin_ms, log.clock.now_ms(), frozenset(log.cut_off)
+        )
         for name, heal in heals:
             log.note(f'heal {name}')
             heal()
@@ -221,7 +229,7 @@
             if number:
                 pause_s = self.generator.uniform(0.0, self.pace.second_fault_s)
                 self._pause(cluster, callers, pause_s)
-            generator = random.Random(f'{self.seed}/{name}')
+            generator = random.Random(f'{self.seed}/{number}/{name}')
             scene = faults.Scene(cluster, log, generator)
             heals.append((name, faults.FAULTS[name](scene)))
         return heals
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -41,6 +41,8 @@
 def _run(one: rounds.Round) -> rounds.Verdict:
     verdict = one.run()
     typer.echo(str(verdict))
+    for served in verdict.served:
+        typer.echo(f'  {served}')
     for violation in verdict.violations[:SHOWN_VIOLATIONS]:
         typer.echo(f'  {violation}')
     if verdict.violations:
