--- a/eelgrassknot/reporting/recorder.py
+++ b/eelgrassknot/reporting/recorder.py
@@ -130,7 +130,8 @@
         row = self.row_set.row(key)
         row.requests += 1
         rows.add_count(row.outcomes, facts.outcome.value, 1)
-        row.add_reason(facts.reason)
+        if facts.outcome is not states.Outcome.DONE:
+            row.add_reason(facts.reason)
         return row
 
     def _add_bytes(self, row: rows.Row, cause: str, count: int) -> None:
--- a/eelgrassknot/reporting/rendering.py
+++ b/eelgrassknot/reporting/rendering.py
@@ -25,6 +25,8 @@
 NO_SERVICE = '(none)'
 MS_PER_SECOND = 1000
 
+_EMPTY = frozenset({'', '-', '0', '0.000', '0.0000'})
+
 
 @dataclasses.dataclass(frozen=True)
 class Cells:
@@ -71,7 +73,9 @@
         'main reason',
     )
     rows = tuple(_operations_row(row, parts) for row in report.operations)
-    return Cells('Operations: who waited and why', columns, rows)
+    return _without_empty_columns(
+        Cells('Operations: who waited and why', columns, rows)
+    )
 
 
 def money_table(report: messages.Report) -> Cells:
@@ -92,7 +96,10 @@
         'price',
     )
     rows = tuple(_money_row(row) for row in report.money)
-    return Cells('Money: paid twice or carried across regions', columns, rows)
+    told = tuple(row for row in rows if not _EMPTY.issuperset(row[2:]))
+    return _without_empty_columns(
+        Cells('Money: paid twice or carried across regions', columns, told)
+    )
 
 
 def coverage_lines(report: messages.Report) -> list[str]:
@@ -123,6 +130,21 @@
     return lines
 
 
+def _without_empty_columns(table: Cells) -> Cells:
+    """Return a table without columns in which all is zero."""
+    kept = [
+        index
+        for index in range(len(table.columns))
+        if index < table.numeric_from
+        or not _EMPTY.issuperset(row[index] for row in table.rows)
+    ]
+    return dataclasses.replace(
+        table,
+        columns=tuple(table.columns[index] for index in kept),
+        rows=tuple(tuple(row[index] for index in kept) for row in table.rows),
+    )
+
+
 def _parts_in_use(report: messages.Report) -> list[str]:
     used = {part.part for row in report.operations for part in row.parts}
     return [part.value for part in names.WaitPart if part.value in used]
--- a/tests/reporting/report.feature
+++ b/tests/reporting/report.feature
@@ -40,6 +40,15 @@
     Then the report on service "desk-app" counts 2 requests
     And the report on account "mechanics" counts 3 requests
 
+  Scenario: only requests that were not served have a reason
+    Given a VM that recorded generations that ended with
+      | outcome | reason     | count |
+      | done    | stop       | 5     |
+      | not_run | queue_full | 3     |
+      | not_run | deadline   | 2     |
+    Then the report gives "queue_full" 3 times, and "queue_full" as the main reason
+    And its tables have no column or line in which all is zero
+
   Scenario: all formats show the same numbers
     Given a VM that recorded 7 generations of "mechanics" and 5 calls of "reef-lodge"
     Then each format shows 7 requests of "mechanics" and 5 of "reef-lodge"
--- a/tests/steps/reporting_report.py
+++ b/tests/steps/reporting_report.py
@@ -281,3 +281,36 @@
     )
     page = rendering.RENDERERS.lookup('html')(report_of([recorder]))
     assert account not in page and '&lt;script&gt;' in page
+
+
+@behave.given('a VM that recorded generations that ended with')
+def recorded_reasons(context):
+    recorder = reporting_facts.vm_recorder()
+    for row in context.table:
+        fact = reporting_facts.generation(
+            outcome=states.Outcome(row['outcome']),
+            reason=row['reason'],
+            entry_queue_ms=4.0,
+        )
+        for _ in range(int(row['count'])):
+            recorder.record(fact)
+    context.report = report_of([recorder])
+
+
+@behave.then(
+    'the report gives "{reason}" {count:d} times,'
+    ' and "{main}" as the main reason'
+)
+def gives_reasons(context, reason, count, main):
+    row = whole(context.report.operations)
+    assert row.reasons[reason] == count and 'stop' not in row.reasons
+    table = rendering.operations_table(context.report)
+    assert [cells[-1] for cells in table.rows] == [main, main]
+
+
+@behave.then('its tables have no column or line in which all is zero')
+def no_empty_columns(context):
+    table = rendering.operations_table(context.report)
+    assert 'gap p99' not in table.columns and 'decode s' not in table.columns
+    assert 'entry_queue s' in table.columns
+    assert rendering.money_table(context.report).rows == ()
