--- a/eelgrassknot/cli/commands/status.py
+++ b/eelgrassknot/cli/commands/status.py
@@ -8,18 +8,20 @@
 import typer
 
 from eelgrassknot.cli import console
+from eelgrassknot import clock as clocks
 from eelgrassknot.coordination import config_store
 from eelgrassknot import http_client
 from eelgrassknot.platforms import base
+from eelgrassknot.reporting import reader
+from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
 
 __all__ = ['VmStatus', 'status']
 
 TIMEOUT_MS = 2_000
 MAX_THREADS = 16
-# The platform's list names one port of a VM, by our convention the peers'.
-# "init" puts the operators' listener on the port before it.
-PORT_OFFSETS = (0, -1, 1)
+# Hosts that mean "all addresses" to a listener, and nothing to a caller.
+ANY_HOSTS = ('0.0.0.0', '[::]', '::')
 
 
 class StatusDocument(msgspec.Struct, frozen=True):
@@ -73,9 +75,14 @@
             console.fail(error)
         case result.Ok(listed):
             vms = [v for v in listed if v.kind is states.VmKind.ENTRY]
+    now_ms = clocks.WallClock().now_ms()
+    known = reader.read_operators_addresses(platform.objects, now_ms)
     with concurrent.futures.ThreadPoolExecutor(MAX_THREADS) as executor:
         asked = executor.map(
-            lambda vm: _vm_status(vm, version, operators_port), vms
+            lambda vm: _vm_status(
+                vm, _address(vm, known.get(vm.vm), operators_port), version
+            ),
+            vms,
         )
         found = sorted(asked, key=lambda vm: (vm.availability_zone, vm.vm))
     if as_json:
@@ -96,32 +103,38 @@
             return stamp.version if stamp else 0
 
 
-def _vm_status(
-    vm: base.VmEntry, version: int, operators_port: int | None
-) -> VmStatus:
-    ports = [operators_port] if operators_port else _ports(vm)
-    reason = 'it did not answer'
-    for port in ports:
-        answer = http_client.request(
-            'GET',
-            f'http://{vm.address}:{port}/status',
-            timeout_ms=TIMEOUT_MS,
-        )
-        match answer:
-            case result.Ok(http_client.HttpAnswer(status=200, body=body)):
-                found = _read_document(body)
-                if found is not None and found.vm == vm.vm:
-                    return _answered(vm, found, body, version)
-                reason = 'another process answered on its port'
+def _address(
+    vm: base.VmEntry, known: str | None, operators_port: int | None
+) -> str:
+    """Return where a VM is to be asked.
+
+    The platform's list names one port of a VM, which need not be the
+    operators'; the VM itself writes that beside its part of the report.
+    """
+    if operators_port is not None:
+        return f'{vm.address}:{operators_port}'
+    if known is None:
+        return f'{vm.address}:{vm.port}'
+    host, port = vm_settings.split_address(known)
+    return f'{vm.address if host in ANY_HOSTS else host}:{port}'
+
+
+def _vm_status(vm: base.VmEntry, address: str, version: int) -> VmStatus:
+    url = f'http://{address}/status'
+    reason = f'no answer from {address}'
+    match http_client.request('GET', url, timeout_ms=TIMEOUT_MS):
+        case result.Ok(http_client.HttpAnswer(status=200, body=body)):
+            found = _read_document(body)
+            if found is not None and found.vm == vm.vm:
+                return _answered(vm, found, body, version)
+            reason = f'another process answered at {address}'
+        case result.Ok(other):
+            reason = f'status {other.status} from {address}'
     return VmStatus(
         vm.vm, vm.availability_zone, vm.state.value, None, None, reason
     )
 
 
-def _ports(vm: base.VmEntry) -> list[int]:
-    return [vm.port + offset for offset in PORT_OFFSETS]
-
-
 def _read_document(body: bytes) -> StatusDocument | None:
     try:
         return msgspec.json.decode(body, type=StatusDocument)
--- a/eelgrassknot/reporting/part.py
+++ b/eelgrassknot/reporting/part.py
@@ -58,11 +58,12 @@
         self.wall_clock = wall_clock or clocks.WallClock()
         self.interval_ms = settings.report_interval_ms
         self.recorder = recorder.Recorder(
-            (
+            rows.VmIdentity(
                 settings.vm,
                 node.incarnation,
                 settings.availability_zone,
                 settings.region,
+                settings.listen.operators,
             ),
             self.wall_clock.now_ms(),
         )
--- a/eelgrassknot/reporting/reader.py
+++ b/eelgrassknot/reporting/reader.py
@@ -14,9 +14,10 @@
 from eelgrassknot.reporting import object_names
 from eelgrassknot.reporting import rows
 
-__all__ = ['read_report']
+__all__ = ['read_operators_addresses', 'read_report']
 
 LOOKBACK_HOURS = 24
+RECENT_HOURS = 2
 FETCH_THREADS = 8
 
 
@@ -52,6 +53,38 @@
     return result.Ok(merger.report(missing, unreadable))
 
 
+def read_operators_addresses(
+    objects: platform_base.ObjectStore, now_ms: float
+) -> dict[ids.VmId, str]:
+    """Return where the VMs that wrote lately listen for operators.
+
+    Args:
+        objects: The object store.
+        now_ms: Wall-clock time.
+
+    Returns:
+        Addresses as ``IP:port``; a VM that cannot be read is left out.
+    """
+    recent_ms = RECENT_HOURS * object_names.MS_PER_HOUR
+    listed = _list_prefixes(
+        objects, object_names.hour_prefixes(now_ms - recent_ms, now_ms)
+    )
+    latest: dict[ids.VmId, object_names.ObjectName] = {}
+    for name in listed.unwrap_or([]):
+        known = latest.get(name.vm)
+        if known is None or name.ended_ms >= known.ended_ms:
+            latest[name.vm] = name
+    addresses = {}
+    with concurrent.futures.ThreadPoolExecutor(FETCH_THREADS) as executor:
+        names = list(latest.values())
+        bodies = executor.map(lambda name: objects.get(name.key), names)
+        for name, body in zip(names, bodies):
+            part = _decode(body)
+            if part is not None:
+                addresses[name.vm] = part.operators_address
+    return addresses
+
+
 def _list_names(
     objects: platform_base.ObjectStore, wanted: messages.ReportFilter
 ) -> result.Result[list[object_names.ObjectName], platform_base.PlatformError]:
@@ -61,6 +94,12 @@
     prefixes = object_names.hour_prefixes(
         wanted.since_ms - lookback_ms, wanted.until_ms
     )
+    return _list_prefixes(objects, prefixes)
+
+
+def _list_prefixes(
+    objects: platform_base.ObjectStore, prefixes: list[str]
+) -> result.Result[list[object_names.ObjectName], platform_base.PlatformError]:
     names = []
     with concurrent.futures.ThreadPoolExecutor(FETCH_THREADS) as executor:
         for answer in executor.map(objects.list_keys, prefixes):
--- a/eelgrassknot/reporting/rows.py
+++ b/eelgrassknot/reporting/rows.py
@@ -16,6 +16,7 @@
     'Row',
     'RowKey',
     'RowSet',
+    'VmIdentity',
     'combine',
     'decode',
     'encode',
@@ -164,10 +165,26 @@
             self.row(key, other.requests).merge(other)
 
 
+class VmIdentity(typing.NamedTuple):
+    """The VM that wrote a part.
+
+    Attributes:
+        operators_address: Where its operators' listener is, so that the
+            command line finds it with the platform's help alone.
+    """
+
+    vm: ids.VmId
+    incarnation: ids.IncarnationId
+    availability_zone: ids.AvailabilityZoneId
+    region: ids.RegionId
+    operators_address: str
+
+
 class IntervalPart(msgspec.Struct, frozen=True):
     """What one VM writes of one or more whole intervals.
 
     Attributes:
+        operators_address: Where the VM's operators' listener is.
         first_sequence: Number of the first interval in it, from 0 for
             each incarnation.
         last_sequence: Number of the last interval in it.
@@ -181,6 +198,7 @@
     incarnation: ids.IncarnationId
     availability_zone: ids.AvailabilityZoneId
     region: ids.RegionId
+    operators_address: str
     first_sequence: int
     last_sequence: int
     started_ms: int
--- a/tests/reporting_facts.py
+++ b/tests/reporting_facts.py
@@ -4,6 +4,7 @@
 
 from eelgrassknot.kernel import events
 from eelgrassknot.reporting import recorder
+from eelgrassknot.reporting import rows
 from eelgrassknot import states
 
 __all__ = ['generation', 'plain_call', 'random_generation', 'vm_recorder']
@@ -94,7 +95,9 @@
 
 def vm_recorder(vm='nadi-1', incarnation='a1', now_ms=0.0):
     """Return the recorder of a VM whose link costs one a gigabyte."""
-    identity = (vm, incarnation, 'nadi-yard', 'viti-levu')
+    identity = rows.VmIdentity(
+        vm, incarnation, 'nadi-yard', 'viti-levu', '127.0.0.1:1'
+    )
     created = recorder.Recorder(identity, now_ms)
     created.price_per_gigabyte = 1.0
     return created
--- a/tests/steps/reporting_coverage.py
+++ b/tests/steps/reporting_coverage.py
@@ -58,6 +58,7 @@
             vm='nadi-1',
             availability_zone='nadi-yard',
             region='viti-levu',
+            listen=types.SimpleNamespace(operators='127.0.0.1:1'),
             report_interval_ms=60 * MS,
         ),
         incarnation=incarnation,
--- a/tests/steps/reporting_daemon.py
+++ b/tests/steps/reporting_daemon.py
@@ -128,8 +128,7 @@
     context.shown = [
         operators(context, path) for path in ('/metrics', '/status', '/report')
     ]
-    port = context.daemon.settings['listen']['operators'].split(':')[1]
-    context.status = run(context, 'status', '--json', '--operators-port', port)
+    context.status = run(context, 'status', '--json')
     context.daemon.signal(signal.SIGTERM)
     assert context.daemon.process.wait(deployment.LIMIT_S) == 0
 
