--- a/eelgrassknot/coordination/observer_part.py
+++ b/eelgrassknot/coordination/observer_part.py
@@ -9,6 +9,7 @@
 from eelgrassknot.coordination import membership_part
 from eelgrassknot.coordination import observation
 from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.coordination import rendezvous
 from eelgrassknot.coordination import ticker
 from eelgrassknot import ids
 from eelgrassknot.kernel import events
@@ -22,6 +23,8 @@
 __all__ = ['ObserverPart']
 
 TICK_MS = 200.0
+# Each upstream is always polled by the same thread, which keeps its
+# connection open.
 POLL_THREADS = 8
 CACHE_INTERVAL_MS = 5_000.0
 MAX_CACHE_PREFIXES = 64
@@ -39,9 +42,10 @@
         self.cache_after: dict[str, int] = {}
         self.next_cache_ms: dict[str, float] = {}
         self.lock = threading.Lock()
-        self.executor = concurrent.futures.ThreadPoolExecutor(
-            POLL_THREADS, 'observer'
-        )
+        self.executors = [
+            concurrent.futures.ThreadPoolExecutor(1, f'observer-{number}')
+            for number in range(POLL_THREADS)
+        ]
         self.ticker = ticker.Ticker('observer', TICK_MS, self._tick)
         node.hub.subscribe(events.UpstreamsChanged, self._upstreams)
         node.hub.subscribe(membership_part.EntryVmsChanged, self._members)
@@ -54,7 +58,8 @@
     def stop(self) -> None:
         """Poll no more."""
         self.ticker.stop()
-        self.executor.shutdown(wait=False, cancel_futures=True)
+        for executor in self.executors:
+            executor.shutdown(wait=False, cancel_futures=True)
 
     def status(self) -> dict[str, object]:
         """Return how many upstreams this VM observes."""
@@ -70,7 +75,8 @@
             due = self.observation.due(self.node.clock.now_ms())
             infos = [self.upstreams[upstream] for upstream in due]
         for info in infos:
-            ticker.submit(self.executor, self._poll, info)
+            lane = rendezvous.name_hash(info.upstream) % POLL_THREADS
+            ticker.submit(self.executors[lane], self._poll, info)
 
     def _poll(self, info: events.UpstreamInfo) -> None:
         try:
