--- /dev/null
+++ b/tests/requests/plain_call.feature
@@ -0,0 +1,44 @@
+Feature: Calls to plain services by their class
+
+  Scenario Outline: what follows when an attempt gets no answer
+    Given a plain call of class <class>
+    When its attempt fails and <bytes>
+    Then the plain call <next>
+
+    Examples:
+      | class      | bytes               | next                         |
+      | idempotent | bytes have left     | is sent again after a delay  |
+      | idempotent | no byte has left    | wants another upstream       |
+      | once       | bytes have left     | ends as unknown              |
+      | once       | no byte has left    | wants another upstream       |
+      | keyed      | bytes have left     | ends as unknown              |
+      | keyed      | no byte has left    | wants another upstream       |
+
+  Scenario Outline: a crossed answer is never delivered
+    Given a plain call of class <class>
+    When its attempt is answered with another request's answer
+    Then the plain call <next>
+
+    Examples:
+      | class      | next                        |
+      | idempotent | is sent again after a delay |
+      | once       | ends as unknown             |
+
+  Scenario: a refused call that never left is not_run
+    Given a plain call of class once
+    When its attempt fails and no byte has left
+    And the dispatcher refuses it
+    Then the plain call ends as not_run
+
+  Scenario: an idempotent call keeps the answer of a failing upstream
+    Given a plain call of class idempotent
+    When its attempt is answered with the status 503
+    And its delay is over and the dispatcher refuses it
+    Then the plain call ends as failed
+
+  Scenario: only calls that may run once need a new connection
+    Then a plain call of class once needs a new connection
+    And a plain call of class keyed needs a new connection
+
+  Scenario: delays are decorrelated and bounded
+    Then 1000 delays lie between 20 and 1000 ms and differ by seed
