--- a/eelgrassknot/frontend/claim_part.py
+++ b/eelgrassknot/frontend/claim_part.py
@@ -14,6 +14,7 @@
 from eelgrassknot import ids
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
+from eelgrassknot.kernel import work_loop
 from eelgrassknot import logs
 from eelgrassknot.platforms import base
 from eelgrassknot.requests import claim as claims
@@ -26,6 +27,7 @@
 TABLE = 'claims'
 MAX_ROW_ANSWER_BYTES = 65_536
 STORE_POLL_MS = 20.0
+IDLE_POLL_MS = 5_000.0
 MAX_GROUP_ROWS = 16
 DRAIN_STORE_MS = 15_000.0
 
@@ -65,8 +67,9 @@
         self.lock = threading.Lock()
         self.storing: dict[ids.Nonce, KeyedCall] = {}
         self.due: list[tuple[KeyedCall, messages.StoreOutcome]] = []
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.loop = work_loop.WorkLoop(
+            'claims', STORE_POLL_MS, IDLE_POLL_MS, self._store_due
+        )
 
     def start(self) -> None:
         """Begin to store outcomes, and to answer peers."""
@@ -75,20 +78,19 @@
         peers_part = members.get('request_peers')
         if peers_part is not None:
             peers_part.lookup = self.ledger.answer
-        self.thread.start()
+        self.loop.start()
 
     def drain(self) -> None:
         """Store the outcomes that are known; give up after a while."""
         until_ms = self.node.clock.now_ms() + DRAIN_STORE_MS
         while self.storing and self.node.clock.now_ms() < until_ms:
-            self.stopped.wait(STORE_POLL_MS / clocks.MS_PER_SECOND)
+            self.loop.stopped.wait(STORE_POLL_MS / clocks.MS_PER_SECOND)
         if self.storing:
             logs.warning('outcomes_not_stored', calls=len(self.storing))
 
     def stop(self) -> None:
         """End the thread."""
-        self.stopped.set()
-        self.thread.join()
+        self.loop.stop()
 
     def status(self) -> dict[str, object]:
         """Return how many outcomes wait for the store."""
@@ -242,13 +244,13 @@
         with self.lock:
             self.storing[call.nonce] = call
             self.due.append((call, action))
+        self.loop.wake()
 
-    def _run(self) -> None:
-        pause_s = STORE_POLL_MS / clocks.MS_PER_SECOND
-        while not self.stopped.wait(pause_s):
-            self._wake_storing()
-            while self.due:
-                self._store_group()
+    def _store_due(self) -> bool:
+        self._wake_storing()
+        while self.due:
+            self._store_group()
+        return bool(self.storing)
 
     def _wake_storing(self) -> None:
         now_ms = self.node.clock.now_ms()
--- a/eelgrassknot/frontend/relay_part.py
+++ b/eelgrassknot/frontend/relay_part.py
@@ -11,6 +11,7 @@
 from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
+from eelgrassknot.kernel import work_loop
 from eelgrassknot import logs
 from eelgrassknot.policy import messages as policy
 from eelgrassknot.requests import cancellation
@@ -28,6 +29,7 @@
 # Bounds the connections that probes and cancellations hold open.
 QUESTION_THREADS = 8
 CANCEL_POLL_MS = 50.0
+IDLE_POLL_MS = 5_000.0
 DRAIN_CANCELS_MS = 8_000.0
 
 
@@ -54,14 +56,15 @@
         self.questions = concurrent.futures.ThreadPoolExecutor(
             QUESTION_THREADS
         )
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self._cancel_due, daemon=True)
+        self.loop = work_loop.WorkLoop(
+            'cancellations', CANCEL_POLL_MS, IDLE_POLL_MS, self._cancel_due
+        )
         node.hub.subscribe(kernel_events.UpstreamsChanged, self._upstreams)
 
     def start(self) -> None:
         """Begin to cancel what nobody reads."""
         self.dispatch = self.node.part_set.parts['dispatch']
-        self.thread.start()
+        self.loop.start()
 
     def drain(self) -> None:
         """Let callers come back, then have engines confirm the rest."""
@@ -69,12 +72,11 @@
         while self.cancellations.pending:
             if self.node.clock.now_ms() >= until_ms:
                 break
-            self.stopped.wait(CANCEL_POLL_MS / 1000)
+            self.loop.stopped.wait(CANCEL_POLL_MS / 1000)
 
     def stop(self) -> None:
         """End the threads."""
-        self.stopped.set()
-        self.thread.join()
+        self.loop.stop()
         self.questions.shutdown(cancel_futures=True)
 
     def status(self) -> dict[str, object]:
@@ -152,6 +154,7 @@
             )
             if held is not None:
                 self.held[action.generation] = held
+        self.loop.wake()
 
     def find_upstream(
         self, origin: cursor.StreamOrigin
@@ -167,12 +170,12 @@
         for generation in gone:
             self._settle(generation)
 
-    def _cancel_due(self) -> None:
-        while not self.stopped.wait(CANCEL_POLL_MS / 1000):
-            with self.lock:
-                due = self.cancellations.take_due(self.node.clock.now_ms())
-            for entry in due:
-                self.questions.submit(self._cancel_now, entry)
+    def _cancel_due(self) -> bool:
+        with self.lock:
+            due = self.cancellations.take_due(self.node.clock.now_ms())
+        for entry in due:
+            self.questions.submit(self._cancel_now, entry)
+        return bool(self.cancellations.pending)
 
     def _cancel_now(self, entry: cancellation.Cancellation) -> None:
         match engine_client.cancel(entry.upstream.address, entry.generation):
