--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,7 +1,6 @@
 """A whole deployment on loopback: stand-ins, proxy and daemons."""
 
 import concurrent.futures
-import dataclasses
 import pathlib
 import random
 import signal
@@ -16,90 +15,19 @@
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
 from standins import processes
+from standins import shapes
+from standins import topology as topologies
 
-__all__ = ['Cluster', 'Shape', 'Upstream', 'shape_of', 'smaller']
+__all__ = ['Cluster']
 
 HOST = '127.0.0.1'
 AUTHOR = 'harness'
-DAEMON_MODULE = 'eelgrassknot.daemon'
-LINK_GROUP = 'region-link'
-PLATFORM = 'platform'
-CALLERS = 'callers'
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
 
 _PORTS = random.SystemRandom()
 
 
-@dataclasses.dataclass(frozen=True)
-class Shape:
-    """What a cluster consists of.
-
-    Attributes:
-        entry_vms: Number of daemons by availability zone.
-        engines: Number of engines by availability zone.
-        plains: Number of plain services by availability zone.
-        zone_delay_ms: One-way delay between zones of a region.
-        region_delay_ms: One-way delay between regions.
-        link_bits_per_second: Rate of the link between regions.
-        kv_tokens: Memory of each engine.
-        step_ms: Time of an engine's decode step.
-        daemon_module: Module that is run as the daemon; tests name a
-            broken variant here.
-    """
-
-    deployment: examples.Deployment
-    entry_vms: dict[str, int]
-    engines: dict[str, int]
-    plains: dict[str, int]
-    zone_delay_ms: float = 1.5
-    region_delay_ms: float = 30.0
-    link_bits_per_second: float = 15_000_000.0
-    kv_tokens: int = 6_000
-    step_ms: float = 15.0
-    daemon_module: str = DAEMON_MODULE
-    text_changes: dict[str, object] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass
-class Upstream:
-    """An engine or a plain service of the cluster."""
-
-    vm: str
-    kind: states.VmKind
-    service: str
-    availability_zone: str
-    child: processes.Child
-    state: str = 'live'
-
-
-def shape_of(name: str, daemon_module: str = DAEMON_MODULE) -> Shape:
-    """Return the shape of a deployment at the brief's sizes.
-
-    Args:
-        name: Name of an example deployment.
-        daemon_module: Module that is run as the daemon.
-    """
-    deployment = examples.DEPLOYMENTS.lookup(name)
-    zones = [group.availability_zone for group in deployment.entry_vms]
-    engine_counts = (2, 2, 1) if name == 'nadroga' else (2, 2, 2)
-    delays = {'nadroga': 1.5, 'lagotermica': 0.5}
-    return Shape(
-        deployment,
-        {g.availability_zone: g.count for g in deployment.entry_vms},
-        dict(zip(zones, engine_counts, strict=True)),
-        dict.fromkeys(zones, 1),
-        zone_delay_ms=delays[name],
-        daemon_module=daemon_module,
-    )
-
-
-def smaller(shape: Shape) -> Shape:
-    """Return a shape with one VM of each kind in each zone."""
-    one = dict.fromkeys(shape.entry_vms, 1)
-    return dataclasses.replace(shape, entry_vms=one, engines=one, plains=one)
-
-
 class Cluster:
     """Starts, harms and ends the processes of a deployment.
 
@@ -114,12 +42,12 @@
         seed: Seed of the stand-ins.
 
     Example:
-        >>> with Cluster(shape_of('nadroga'), directory, 1) as cluster:
+        >>> with Cluster(shapes.shape_of('nadroga'), directory, 1) as cluster:
         ...     cluster.wait_ready()
     """
 
     def __init__(
-        self, shape: Shape, directory: pathlib.Path, seed: int
+        self, shape: shapes.Shape, directory: pathlib.Path, seed: int
     ) -> None:
         self.shape = shape
         self.directory = directory
@@ -127,9 +55,9 @@
         self.children: list[processes.Child] = []
         self.daemons: dict[str, processes.Child] = {}
         self.settings: dict[str, vm_settings.VmSettings] = {}
-        self.upstreams: dict[str, Upstream] = {}
-        self.links: dict[str, str] = {}
-        self.regions: dict[str, str] = {}
+        self.upstreams: dict[str, topologies.Upstream] = {}
+        self.topology = topologies.Topology(shape)
+        self.regions = self.topology.regions
         self.account_keys: dict[str, str] = {}
         self.platform: processes.Child | None = None
         self.proxy: processes.Child | None = None
@@ -169,7 +97,7 @@
             child.end()
 
     def _start_standins(self) -> None:
-        self.platform = self._start(PLATFORM, ['standins.platform'])
+        self.platform = self._start(topologies.PLATFORM, ['standins.platform'])
         self.proxy = self._start('proxy', ['standins.fault_proxy'])
         kinds = (
             (states.VmKind.ENGINE, self.shape.engines),
@@ -204,7 +132,9 @@
         if kind is states.VmKind.ENGINE:
             arguments += self._engine_arguments(service)
         child = self._start(vm, arguments)
-        self.upstreams[vm] = Upstream(vm, kind, service.service, zone, child)
+        self.upstreams[vm] = topologies.Upstream(
+            vm, kind, service.service, zone, child
+        )
 
     def _engine_arguments(self, service: object) -> list[str]:
         arguments = [
@@ -224,9 +154,6 @@
         return arguments
 
     def _plan_entry_vms(self, example: examples.Example) -> None:
-        for region in example.text.regions:
-            for zone in region.availability_zones:
-                self.regions[zone] = region.region
         wanted = dict(self.shape.entry_vms)
         for settings in example.settings:
             zone = settings.availability_zone
@@ -242,116 +169,24 @@
         )
 
     def _open_links(self) -> None:
-        orders = []
-        for zone in self.regions:
-            platform_zone = next(iter(self.regions))
-            orders.append(
-                self._link(zone, platform_zone, PLATFORM, self.platform)
-            )
-            for upstream in self.upstreams.values():
-                orders.append(
-                    self._link(
-                        zone,
-                        upstream.availability_zone,
-                        upstream.vm,
-                        upstream.child,
-                    )
-                )
-        for vm, settings in self.settings.items():
-            orders += self._entry_links(vm, settings)
-        self.links = processes.ask_json(
+        orders = self.topology.orders(
+            self.platform.address, self.upstreams, self.settings
+        )
+        self.topology.addresses = processes.ask_json(
             self.proxy.address, 'POST', '/links', orders
         )
-        rates = {LINK_GROUP: self.shape.link_bits_per_second}
+        rates = {topologies.LINK_GROUP: self.shape.link_bits_per_second}
         processes.ask(self.proxy.address, 'POST', '/groups', rates)
 
-    def _entry_links(
-        self, vm: str, settings: vm_settings.VmSettings
-    ) -> list[dict]:
-        target_zone = settings.availability_zone
-        orders = [
-            {
-                'name': f'{CALLERS}>{target_zone}>{vm}',
-                'target': settings.listen.callers,
-                'delay_ms': 0.0,
-            }
-        ]
-        for zone in self.regions:
-            order = self._link(zone, target_zone, vm, None)
-            order['target'] = settings.listen.peers
-            orders.append(order)
-        return orders
-
-    def _link(
-        self,
-        zone: str,
-        target_zone: str,
-        vm: str,
-        child: processes.Child | None,
-    ) -> dict:
-        crosses = self.regions[zone] != self.regions[target_zone]
-        near_ms = 0.0 if zone == target_zone else self.shape.zone_delay_ms
-        return {
-            'name': f'{zone}>{target_zone}>{vm}',
-            'target': child.address if child else '',
-            'group': LINK_GROUP if crosses else '',
-            'delay_ms': self.shape.region_delay_ms if crosses else near_ms,
-        }
-
     def link(self, zone: str, vm: str) -> str:
         """Return the address by which a zone reaches a VM."""
-        for name, address in self.links.items():
-            start, _, target = name.split('>')
-            if start == zone and target == vm:
-                return address
-        raise KeyError(f'{zone} has no link to {vm}')
+        return self.topology.link(zone, vm)
 
     def publish_vms(self) -> None:
         """Tell the platform which VMs live, as each zone reaches them."""
-        views = {zone: self._view(zone) for zone in self.regions}
-        lists = {'vms': views[next(iter(views))], 'views': views}
+        lists = self.topology.vm_lists(self.upstreams, self.settings)
         processes.ask(self.platform.address, 'PUT', '/control/vms', lists)
 
-    def _view(self, zone: str) -> list[dict]:
-        entries = [
-            self._entry(zone, vm, s.availability_zone, 'entry', None, 'live')
-            for vm, s in self.settings.items()
-        ]
-        entries += [
-            self._entry(
-                zone,
-                u.vm,
-                u.availability_zone,
-                u.kind.value,
-                u.service,
-                u.state,
-            )
-            for u in self.upstreams.values()
-            if u.state != 'gone'
-        ]
-        return entries
-
-    def _entry(
-        self,
-        zone: str,
-        vm: str,
-        target_zone: str,
-        kind: str,
-        service: str | None,
-        state: str,
-    ) -> dict:
-        host, _, port = self.link(zone, vm).rpartition(':')
-        return {
-            'vm': vm,
-            'address': host,
-            'port': int(port),
-            'availability_zone': target_zone,
-            'region': self.regions[target_zone],
-            'kind': kind,
-            'service': service,
-            'state': state,
-        }
-
     def accept_text(self) -> bool:
         """Put the present text in force; return whether it was accepted."""
         document = msgspec.json.encode(self.text).decode()
@@ -368,7 +203,7 @@
         peers = tuple(
             self.link(zone, other) for other in self.settings if other != vm
         )
-        address = self.link(zone, PLATFORM)
+        address = self.link(zone, topologies.PLATFORM)
         started = msgspec.structs.replace(
             settings,
             known_peers=peers,
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,6 +15,7 @@
 from standins import cluster as clusters
 from standins import history as histories
 from standins import processes
+from standins import shapes
 
 __all__ = ['main']
 
@@ -33,7 +34,7 @@
 def main() -> None:
     """Show the system at work; exit 0 if nothing was lost or doubled."""
     _say('starting the stand-ins and three daemons on loopback')
-    shape = clusters.smaller(clusters.shape_of('nadroga'))
+    shape = shapes.smaller(shapes.shape_of('nadroga'))
     with clusters.Cluster(shape, DIRECTORY, seed=1) as cluster:
         cluster.wait_ready()
         for vm, settings in cluster.settings.items():
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -9,6 +9,7 @@
 from standins import cluster as clusters
 from standins import processes
 from standins import recorder
+from standins import topology as topologies
 
 __all__ = ['FAULTS', 'HARMLESS_TO_CONNECTIONS', 'Scene']
 
@@ -51,7 +52,7 @@
         ]
         return self.generator.choice(alive)
 
-    def upstream(self, kind: states.VmKind) -> clusters.Upstream:
+    def upstream(self, kind: states.VmKind) -> topologies.Upstream:
         """Return an upstream of a kind that is alive and not leaving."""
         live = [
             upstream
@@ -60,7 +61,7 @@
         ]
         return self.generator.choice(live)
 
-    def plains(self) -> list[clusters.Upstream]:
+    def plains(self) -> list[topologies.Upstream]:
         """Return all plain services."""
         return [
             upstream
@@ -234,7 +235,7 @@
     links = [f'{zone}>{other}>' for other in others]
     links += [f'{other}>{zone}>' for other in others]
     # The store is outside of a zone that is cut off.
-    links.append(f'{zone}>{zones[0]}>{clusters.PLATFORM}')
+    links.append(f'{zone}>{zones[0]}>{topologies.PLATFORM}')
     links = [link for link in links if not link.startswith('callers')]
     scene.log.note(f'cut off {zone}')
     scene.log.cut_off |= {
@@ -254,8 +255,8 @@
 def _region_link_stalls(scene: Scene) -> Heal:
     scene.log.note('the link between regions is throttled')
     proxy = scene.cluster.proxy.address
-    slow = {clusters.LINK_GROUP: STALLED_LINK_BITS_PER_SECOND}
-    whole = {clusters.LINK_GROUP: scene.cluster.shape.link_bits_per_second}
+    slow = {topologies.LINK_GROUP: STALLED_LINK_BITS_PER_SECOND}
+    whole = {topologies.LINK_GROUP: scene.cluster.shape.link_bits_per_second}
     processes.ask(proxy, 'POST', '/groups', slow)
 
     def heal() -> None:
--- a/standins/recorder.py
+++ b/standins/recorder.py
@@ -9,6 +9,7 @@
 from standins import degradation
 from standins import history as histories
 from standins import processes
+from standins import topology as topologies
 
 __all__ = ['Recorder']
 
@@ -84,7 +85,7 @@
         """Record that a version of the text was accepted."""
         self.history.accepted[str(version)] = self.clock.now_ms()
 
-    def gather(self, upstream: clusters.Upstream) -> None:
+    def gather(self, upstream: topologies.Upstream) -> None:
         """Fetch the history of an upstream."""
         self.gathered.add(upstream.vm)
         told = processes.ask_json(
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -16,6 +16,8 @@
 from standins import faults
 from standins import history as histories
 from standins import recorder
+from standins import shapes
+from standins import topology as topologies
 
 __all__ = ['BRIEF', 'Pace', 'Round', 'Verdict', 'run_round']
 
@@ -95,7 +97,7 @@
         seed: int,
         directory: pathlib.Path,
         names: tuple[str, ...] = (),
-        daemon_module: str = clusters.DAEMON_MODULE,
+        daemon_module: str = shapes.DAEMON_MODULE,
         deployment: str = '',
         pace: Pace = Pace(),
         is_small: bool = False,
@@ -110,8 +112,8 @@
         # The same fault may strike twice.
         drawn_names = self.generator.choices(sorted(faults.FAULTS), k=count)
         self.names = tuple(names or drawn_names)
-        shape = clusters.shape_of(self.deployment, daemon_module)
-        self.shape = clusters.smaller(shape) if is_small else shape
+        shape = shapes.shape_of(self.deployment, daemon_module)
+        self.shape = shapes.smaller(shape) if is_small else shape
 
     def run(self) -> Verdict:
         """Run the round and check its history."""
@@ -192,7 +194,7 @@
         self, cluster: clusters.Cluster
     ) -> list[load.EntryPoint]:
         return [
-            load.EntryPoint(vm, cluster.link(clusters.CALLERS, vm))
+            load.EntryPoint(vm, cluster.link(topologies.CALLERS, vm))
             for vm, child in cluster.daemons.items()
             if child.alive and cluster.is_ready(vm)
         ]
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -8,8 +8,8 @@
 
 import typer
 
-from standins import cluster as clusters
 from standins import rounds
+from standins import shapes
 
 __all__ = ['main', 'soak']
 
@@ -72,7 +72,7 @@
     fault: typing.Annotated[
         list[str] | None, typer.Option(help='Faults in place of drawn ones.')
     ] = None,
-    daemon_module: str = clusters.DAEMON_MODULE,
+    daemon_module: str = shapes.DAEMON_MODULE,
 ) -> None:
     """Run seeded fault rounds; exit 1 if an invariant was violated."""
     if replay is not None:
--- a/tests/steps/system_openai_client.py
+++ b/tests/steps/system_openai_client.py
@@ -6,13 +6,15 @@
 import openai
 
 from standins import cluster as clusters
+from standins import shapes
+from standins import topology as topologies
 
 DIRECTORY = pathlib.Path('run/features/openai')
 MODEL = 'shop-assistant'
 
 
 def _client(context, key):
-    address = context.cluster.link(clusters.CALLERS, context.vm)
+    address = context.cluster.link(topologies.CALLERS, context.vm)
     return openai.OpenAI(
         api_key=key, base_url=f'http://{address}/v1', max_retries=0
     )
@@ -20,7 +22,7 @@
 
 @behave.given('a small deployment and an OpenAI client of an account')
 def given_client(context):
-    shape = clusters.smaller(clusters.shape_of('nadroga'))
+    shape = shapes.smaller(shapes.shape_of('nadroga'))
     context.cluster = clusters.Cluster(shape, DIRECTORY, seed=1)
     context.add_cleanup(context.cluster.close)
     context.cluster.start()
