--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -254,6 +254,14 @@
         operators = self.settings[vm].listen.operators
         return processes.ask_json(operators, 'GET', '/status')
 
+    def plains(self) -> list[topologies.Upstream]:
+        """Return all plain services."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.kind is states.VmKind.PLAIN
+        ]
+
     def control(self, child: processes.Child, changes: dict) -> None:
         """Tell a stand-in what to suffer from."""
         processes.ask(child.address, 'POST', '/control', changes)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,6 +16,7 @@
 from standins import history as histories
 from standins import processes
 from standins import shapes
+from standins import stream_caller
 
 __all__ = ['main']
 
@@ -83,16 +84,13 @@
     callers: load.Callers,
 ) -> histories.StreamRecord:
     first = entry_points[0]
-    record = histories.StreamRecord(
+    record = stream_caller.new_record(
         'long-answer',
         LONG_ANSWER_TOKENS,
         clocks.MonotonicClock().now_ms(),
-        tokens=[],
-        vms=[],
-        cuts=[],
     )
     single = load.Callers(mix, [first], seed=2)
-    stream = load.Stream(single, record, random.Random(2))
+    stream = stream_caller.Stream(single, record, random.Random(2))
     thread = threading.Thread(target=stream.run, args=(mix.keys[0],))
     thread.start()
     _say(f'a write-up of {LONG_ANSWER_TOKENS} tokens begins at {first.vm}')
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -61,14 +61,6 @@
         ]
         return self.generator.choice(live)
 
-    def plains(self) -> list[topologies.Upstream]:
-        """Return all plain services."""
-        return [
-            upstream
-            for upstream in self.cluster.upstreams.values()
-            if upstream.kind is states.VmKind.PLAIN
-        ]
-
 
 Fault = collections.abc.Callable[[Scene], Heal]
 FAULTS: dict[str, Fault] = {}
@@ -320,12 +312,12 @@
 def _plain_answers(kind: str) -> Fault:
     def fault(scene: Scene) -> Heal:
         scene.log.note(f'a third of the plain answers: {kind}')
-        for plain in scene.plains():
+        for plain in scene.cluster.plains():
             struck = {kind: {'probability': PLAIN_PROBABILITY}}
             scene.cluster.control(plain.child, struck)
 
         def heal() -> None:
-            for plain in scene.plains():
+            for plain in scene.cluster.plains():
                 kept = {kind: {'probability': 0.0}}
                 scene.cluster.control(plain.child, kept)
 
--- /dev/null
+++ b/standins/plain_caller.py
@@ -0,0 +1,153 @@
+"""Caller of one plain call, with the repeats that its kind allows."""
+
+import concurrent.futures
+import enum
+import http.client
+import random
+import typing
+
+import msgspec
+
+from standins import history as histories
+from standins import stream_caller
+
+if typing.TYPE_CHECKING:
+    from standins import callers as load
+
+__all__ = ['Kind', 'PlainCaller']
+
+REPEATS = 4
+REPEAT_PAUSE_S = 0.2
+HASTY_TIMEOUT_S = 0.3
+SHOWN_BYTES = 300
+
+
+class Kind(enum.Enum):
+    """How a plain call is made."""
+
+    LOOKUP = 'lookup'
+    UNKEYED = 'unkeyed'
+    KEYED = 'keyed'
+    HASTY = 'hasty'
+    RACED = 'raced'
+
+
+class PlainCaller:
+    """Makes one call.
+
+    A lookup and a keyed booking are repeated until they are answered; an
+    unkeyed booking is sent once. A hasty caller gives up early and asks
+    another VM while the first may still be at it; a raced booking is sent
+    to two VMs at once.
+
+    Args:
+        callers: Where it may connect, and the time.
+        name: Name of the call.
+        generator: Source of its choices.
+    """
+
+    def __init__(
+        self, callers: 'load.Callers', name: str, generator: random.Random
+    ) -> None:
+        self.callers = callers
+        self.name = name
+        self.generator = generator
+        self.kind = generator.choice(list(Kind))
+
+    def run(self, bearer: str) -> None:
+        """Make the call and record each attempt."""
+        if self.kind is Kind.RACED:
+            self._race(bearer)
+            return
+        repeats = 1 if self.kind is Kind.UNKEYED else REPEATS
+        for attempt in range(repeats):
+            record = self._attempt(bearer, str(attempt))
+            if record.outcome in ('done', 'invalid', 'failed'):
+                return
+            self.callers.stopped.wait(REPEAT_PAUSE_S)
+
+    def _race(self, bearer: str) -> None:
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            for attempt in ('a', 'b'):
+                pool.submit(self._attempt, bearer, attempt)
+
+    def _attempt(self, bearer: str, attempt: str) -> histories.CallRecord:
+        is_lookup = self.kind is Kind.LOOKUP
+        has_key = self.kind in (Kind.KEYED, Kind.HASTY, Kind.RACED)
+        record = histories.CallRecord(
+            f'{self.name}-{attempt}',
+            f'key-{self.name}' if has_key else None,
+            is_lookup,
+            '' if is_lookup else f'{{"booking": "{self.name}"}}',
+            self.callers.clock.now_ms(),
+        )
+        self.callers.calls.append(record)
+        is_hasty = self.kind is Kind.HASTY and attempt == '0'
+        patience_s = self.callers.mix.patience_s
+        self._send(record, bearer, HASTY_TIMEOUT_S if is_hasty else patience_s)
+        if is_hasty and record.outcome == 'cut':
+            record.outcome = 'left'
+        record.ended_ms = self.callers.clock.now_ms()
+        return record
+
+    def _send(
+        self, record: histories.CallRecord, bearer: str, timeout_s: float
+    ) -> None:
+        entry = self.callers.choose(self.generator)
+        record.vm = entry.vm
+        connection = http.client.HTTPConnection(
+            entry.address, timeout=timeout_s
+        )
+        try:
+            connection.connect()
+        except OSError:
+            record.outcome = 'unreached'
+            return
+        try:
+            self._request(connection, record, bearer)
+            answer = connection.getresponse()
+            _note_answer(record, answer, answer.read())
+        except (OSError, http.client.HTTPException) as error:
+            record.answer = f'{type(error).__name__}: {error}'
+        finally:
+            connection.close()
+
+    def _request(
+        self,
+        connection: http.client.HTTPConnection,
+        record: histories.CallRecord,
+        bearer: str,
+    ) -> None:
+        mix = self.callers.mix
+        path = mix.lookup if record.idempotent else mix.booking
+        headers = stream_caller.headers(bearer, record.request_id)
+        if record.key:
+            headers['Idempotency-Key'] = record.key
+        connection.request(
+            'GET' if record.idempotent else 'POST',
+            f'/services/{mix.plain}{path}',
+            record.body or None,
+            headers,
+        )
+
+
+def _note_answer(
+    record: histories.CallRecord,
+    answer: http.client.HTTPResponse,
+    body: bytes,
+) -> None:
+    record.status = answer.status
+    record.answered_id = answer.headers.get('X-Request-Id', '')
+    if answer.status == http.client.OK:
+        record.outcome = 'done'
+        record.answer = _echoed(body)
+        return
+    record.outcome = answer.headers.get('X-Outcome', f'{answer.status}')
+    record.answer = body.decode(errors='replace')[:SHOWN_BYTES]
+
+
+def _echoed(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=dict).get('body', '?')
+    except msgspec.MsgspecError:
+        return body.decode(errors='replace')[:SHOWN_BYTES]
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -26,6 +26,9 @@
     'lagotermica': ('/stock', '/confirmations'),
 }
 BALANCER_POLL_S = 0.3
+WHOLE_SHARE = 0.2
+LEFT_SHARE = 0.1
+PLAIN_LATENCY_MS = 40.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -148,6 +151,9 @@
         callers = load.Callers(
             self._mix(cluster), self._entry_points(cluster), self.seed
         )
+        for upstream in cluster.plains():
+            slow = {'latency_ms': PLAIN_LATENCY_MS}
+            cluster.control(upstream.child, slow)
         log.start()
         callers.start(self.pace.stream_callers, self.pace.plain_callers)
         self._pause(cluster, callers, self.pace.warm_up_s)
@@ -188,6 +194,8 @@
             booking,
             tuple(cluster.account_keys.values()),
             mean_tokens=self.pace.mean_tokens,
+            whole_share=WHOLE_SHARE,
+            left_share=LEFT_SHARE,
         )
 
     def _entry_points(
