--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,8 +1,6 @@
 """Stand-in of a model engine: the model of its batch behind HTTP."""
 
-import collections
 import collections.abc
-import dataclasses
 import os
 import random
 import threading
@@ -15,6 +13,8 @@
 from eelgrassknot import clock as clocks
 from standins import engine_model
 from standins import engine_orders
+from standins import engine_telemetry
+from standins import engine_wire
 from standins import serving
 
 __all__ = ['Control', 'Engine', 'Record', 'main']
@@ -22,7 +22,6 @@
 IDLE_POLL_S = 0.05
 SNAPSHOT_MS = 50.0
 STREAM_WAIT_S = 1.0
-MAX_SNAPSHOTS = 2_000
 
 
 class Control(msgspec.Struct):
@@ -54,7 +53,7 @@
 
     Attributes:
         at_ms: When it was accepted, on the machine's monotonic clock.
-        leaving: Whether it was accepted while the engine was leaving.
+        attaches: How many streams were opened on it.
     """
 
     generation: str
@@ -84,14 +83,11 @@
         self.model = model
         self.orders = orders
         self.control = Control()
-        self.generator = random.Random(seed)
+        self.telemetry = engine_telemetry.Telemetry(random.Random(seed))
         self.lock = threading.Lock()
         self.wakened = threading.Condition(self.lock)
         self.changed: dict[str, threading.Condition] = {}
         self.records: dict[str, Record] = {}
-        self.loads: collections.deque = collections.deque(maxlen=MAX_SNAPSHOTS)
-        self.cache_log: list[tuple[float, dict]] = []
-        self.cache_seen = 0
         self.leaving_since_ms: float | None = None
         self.application = serving.Application()
         self._add_routes()
@@ -151,27 +147,11 @@
         self.changed[generation].notify_all()
 
     def _snapshot(self, now_ms: float) -> None:
-        self.loads.append(
-            {
-                'at_ms': now_ms,
-                'kv_tokens_used': self.model.kv_tokens_used(),
-                'kv_tokens_total': self.model.config.kv_tokens_total,
-                'running': len(self.model.running),
-                'waiting': len(self.model.waiting),
-                'preemptions': self.model.preemptions,
-            }
-        )
-        for event in self.model.cache.events:
-            if event.seq > self.cache_seen:
-                self.cache_seen = event.seq
-                self._log_cache_event(event, now_ms)
+        gap_probability = self.control.cache_gap_probability
+        self.telemetry.snapshot(self.model, gap_probability, now_ms)
         for generation in self.model.forget(now_ms - self.control.keep_ms):
             del self.changed[generation]
 
-    def _log_cache_event(self, event: object, now_ms: float) -> None:
-        if self.generator.random() >= self.control.cache_gap_probability:
-            self.cache_log.append((now_ms, dataclasses.asdict(event)))
-
     def complete(self, request: wrappers.Request) -> wrappers.Response:
         """Start a generation, or attach to the one that has this id."""
         body = serving.read_json(request)
@@ -196,7 +176,7 @@
         self.model.submit(
             generation,
             request_id,
-            _prompt(body),
+            engine_wire.prompt_of(body),
             body.get('max_tokens'),
             request.headers.get('X-Priority') != 'batch',
             now_ms,
@@ -243,10 +223,10 @@
                 time.sleep(IDLE_POLL_S)
                 continue
             while index < produced:
-                yield _sse(state, index)
+                yield engine_wire.token_event(state, index)
                 index += 1
             if over == 'done':
-                yield b'data: [DONE]\n\n'
+                yield engine_wire.DONE_EVENT
                 return
             if over == 'cancelled':
                 return
@@ -290,11 +270,7 @@
         """Return the load as it was some time ago."""
         visible_ms = self.clock.now_ms() - self.control.load_lag_ms
         with self.lock:
-            load = self.loads[0]
-            for older in reversed(self.loads):
-                if older['at_ms'] <= visible_ms:
-                    load = older
-                    break
+            load = self.telemetry.load(visible_ms)
             held = self.orders.state(self.clock.now_ms())
         return serving.json_answer(
             {
@@ -310,11 +286,7 @@
         after = request.args.get('after', 0, type=int)
         visible_ms = self.clock.now_ms() - self.control.cache_lag_ms
         with self.lock:
-            events = [
-                event
-                for at_ms, event in self.cache_log
-                if at_ms <= visible_ms and event['seq'] > after
-            ]
+            events = self.telemetry.cache_events(after, visible_ms)
         last = events[-1]['seq'] if events else after
         return serving.json_answer({'events': events, 'next': last})
 
@@ -388,27 +360,6 @@
             )
 
 
-def _prompt(body: dict) -> str:
-    if 'prompt' in body:
-        return str(body['prompt'])
-    messages = body.get('messages', [])
-    return '\n'.join(str(message.get('content')) for message in messages)
-
-
-def _sse(state: engine_model.Generation, index: int) -> bytes:
-    last = index == state.output_tokens - 1
-    event = {
-        'generation': state.generation,
-        'request_id': state.request_id,
-        'index': index,
-        'text': engine_model.token_text(
-            state.request_id, state.generation, index
-        ),
-        'finish_reason': state.finish_reason if last else None,
-    }
-    return b'data: ' + msgspec.json.encode(event) + b'\n\n'
-
-
 def main(
     listen: str = '127.0.0.1:0',
     seed: int = 0,
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -54,7 +54,6 @@
     method: str
     path: str
     body: str
-    leaving: bool = False
 
 
 class PlainService:
