--- a/standins/checkers.py
+++ b/standins/checkers.py
@@ -92,7 +92,20 @@
 def _own_answer(history):
     for call in history.calls:
         if call.outcome == 'done' and call.answer != call.body:
-            yield call.request_id, f'answered with {call.answer!r}'
+            reason = f'status {call.status} with {call.answer!r}'
+            yield call.request_id, reason
+
+
+@_checker('same_answer')
+def _same_answer(history):
+    answers = collections.defaultdict(set)
+    for call in history.calls:
+        if call.key and call.outcome in ('done', 'failed'):
+            told = (call.outcome, call.status)
+            answers[call.key].add(told)
+    for key, told in answers.items():
+        if len(told) > 1:
+            yield f'key {key}', f'answered with {sorted(told)}'
 
 
 @_checker('not_run_never_ran')
--- a/standins/plain_caller.py
+++ b/standins/plain_caller.py
@@ -18,7 +18,7 @@
 
 REPEATS = 4
 REPEAT_PAUSE_S = 0.2
-HASTY_TIMEOUT_S = 0.3
+HASTY_TIMEOUT_S = 0.08
 SHOWN_BYTES = 300
 
 
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -18,8 +18,9 @@
 from standins import recorder
 from standins import shapes
 from standins import topology as topologies
+from standins import verdict as verdicts
 
-__all__ = ['BRIEF', 'Pace', 'Round', 'Verdict', 'run_round']
+__all__ = ['BRIEF', 'Pace', 'Round', 'run_round']
 
 PATHS = {
     'nadroga': ('/availability', '/bookings'),
@@ -57,31 +58,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Verdict:
-    """What came of a round."""
-
-    seed: int
-    deployment: str
-    faults: tuple[str, ...]
-    streams: collections.Counter
-    calls: collections.Counter
-    violations: tuple[checkers.Violation, ...]
-    seconds: float
-    trace: pathlib.Path
-    served: tuple[degradation.Served, ...]
-
-    def __str__(self) -> str:
-        word = 'violated' if self.violations else 'held'
-        return (
-            f'round seed={self.seed} deployment={self.deployment}'
-            f' faults={"+".join(self.faults)}'
-            f' streams={_counts(self.streams)} calls={_counts(self.calls)}'
-            f' seconds={self.seconds:.0f} violations='
-            f'{len(self.violations)} verdict={word}'
-        )
-
-
 class Round:
     """Draws a round from its seed and runs it.
 
@@ -118,7 +94,7 @@
         shape = shapes.shape_of(self.deployment, daemon_module)
         self.shape = shapes.smaller(shape) if is_small else shape
 
-    def run(self) -> Verdict:
+    def run(self) -> verdicts.Verdict:
         """Run the round and check its history."""
         began_s = time.monotonic()
         shutil.rmtree(self.directory, ignore_errors=True)
@@ -132,16 +108,38 @@
             self._keep(history, log, violations)
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
-        return Verdict(
+        served = tuple(degradation.served(history, log.window))
+        return self.verdict(
+            violations, history, time.monotonic() - began_s, served
+        )
+
+    def verdict(
+        self,
+        violations: tuple[checkers.Violation, ...],
+        history: histories.History | None = None,
+        seconds: float = 0.0,
+        served: tuple[degradation.Served, ...] = (),
+    ) -> verdicts.Verdict:
+        """Return what came of this round.
+
+        Args:
+            violations: What the checkers found.
+            history: What was recorded; None if the round broke off.
+            seconds: How long it took.
+            served: What was served while the faults lasted.
+        """
+        streams = history.streams if history else ()
+        calls = history.calls if history else ()
+        return verdicts.Verdict(
             self.seed,
             self.deployment,
             self.names,
-            collections.Counter(s.outcome for s in history.streams),
-            collections.Counter(c.outcome for c in history.calls),
+            collections.Counter(s.outcome for s in streams),
+            collections.Counter(c.outcome for c in calls),
             violations,
-            time.monotonic() - began_s,
+            seconds,
             self.directory,
-            tuple(degradation.served(history, log.window)),
+            served,
         )
 
     def _load_and_harm(
@@ -173,6 +171,7 @@
             heal()
         self._pause(cluster, callers, self.pace.recovery_s)
         callers.stop()
+        cluster.wait_ready()
         self._await_text(cluster, log)
         log.stop()
         history = log.history
@@ -304,14 +303,10 @@
         path.write_bytes(msgspec.json.encode(trace))
 
 
-def run_round(seed: int, directory: pathlib.Path) -> Verdict:
+def run_round(seed: int, directory: pathlib.Path) -> verdicts.Verdict:
     """Run the round of a seed."""
     return Round(seed, directory).run()
 
 
 def _within(interval: list[float], at_ms: float) -> bool:
     return len(interval) == 2 and interval[0] <= at_ms <= interval[1]
-
-
-def _counts(counter: collections.Counter) -> str:
-    return ','.join(f'{name}:{n}' for name, n in sorted(counter.items()))
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -8,8 +8,10 @@
 
 import typer
 
+from standins import checkers
 from standins import rounds
 from standins import shapes
+from standins import verdict as verdicts
 
 __all__ = ['main', 'soak']
 
@@ -20,7 +22,7 @@
 
 def soak(
     minutes: float, seed: int, daemon_module: str
-) -> list[rounds.Verdict]:
+) -> list[verdicts.Verdict]:
     """Run rounds until the time is over.
 
     Args:
@@ -30,16 +32,16 @@
     """
     generator = random.Random(seed)
     until_s = time.monotonic() + minutes * 60
-    verdicts = []
+    outcomes = []
     while time.monotonic() < until_s:
         round_seed = generator.randrange(MAX_SEED)
         one = rounds.Round(round_seed, DIRECTORY, daemon_module=daemon_module)
-        verdicts.append(_run(one))
-    return verdicts
+        outcomes.append(_run(one))
+    return outcomes
 
 
-def _run(one: rounds.Round) -> rounds.Verdict:
-    verdict = one.run()
+def _run(one: rounds.Round) -> verdicts.Verdict:
+    verdict = _verdict(one)
     typer.echo(str(verdict))
     for served in verdict.served:
         typer.echo(f'  {served}')
@@ -50,9 +52,18 @@
     return verdict
 
 
-def _table(verdicts: list[rounds.Verdict]) -> str:
+def _verdict(one: rounds.Round) -> verdicts.Verdict:
+    try:
+        return one.run()
+    except RuntimeError as error:
+        # A process that does not come up is a finding, not the end.
+        broken = checkers.Violation('round_runs', 'round', str(error))
+        return one.verdict((broken,))
+
+
+def _table(outcomes: list[verdicts.Verdict]) -> str:
     counts: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
-    for verdict in verdicts:
+    for verdict in outcomes:
         for name in verdict.faults:
             counts[name][0] += 1
             counts[name][1] += len(verdict.violations)
@@ -79,13 +90,13 @@
         one = rounds.Round(
             replay, DIRECTORY, tuple(fault or ()), daemon_module
         )
-        verdicts = [_run(one)]
+        outcomes = [_run(one)]
     else:
-        verdicts = soak(minutes, seed, daemon_module)
-    violations = sum(len(verdict.violations) for verdict in verdicts)
-    typer.echo(_table(verdicts))
+        outcomes = soak(minutes, seed, daemon_module)
+    violations = sum(len(verdict.violations) for verdict in outcomes)
+    typer.echo(_table(outcomes))
     typer.echo(
-        f'soak seed={seed} rounds={len(verdicts)} violations={violations}'
+        f'soak seed={seed} rounds={len(outcomes)} violations={violations}'
     )
     raise typer.Exit(1 if violations else 0)
 
--- a/tests/standins/checkers.feature
+++ b/tests/standins/checkers.feature
@@ -18,6 +18,7 @@
       | tokens of another request           | own_tokens              |
       | an end before the last token        | whole_answer            |
       | the answer of another call          | own_answer              |
+      | two answers to one key              | same_answer             |
       | a refused call that ran             | not_run_never_ran       |
       | a refused generation that ran       | not_run_never_ran       |
       | a keyed call that ran twice         | at_most_once            |
--- a/tests/steps/standins_checkers.py
+++ b/tests/steps/standins_checkers.py
@@ -84,6 +84,12 @@
     h.executions.append(histories.Execution('p1', request, key, 'POST', 50.0))
 
 
+def _answer_twice(h):
+    again = copy.copy(h.calls[2])
+    again.status = 500
+    h.calls.append(again)
+
+
 def _begin_late(h):
     h.generations.append(
         histories.EngineGeneration('e1', 'g8', 's8', 9_000.0, 1, 'running')
@@ -110,6 +116,7 @@
     'tokens of another request': _cross,
     'an end before the last token': lambda h: h.streams[0].tokens.pop(),
     'the answer of another call': lambda h: setattr(h.calls[0], 'answer', 'b'),
+    'two answers to one key': _answer_twice,
     'a refused call that ran': lambda h: _execute(h, 'c4', None),
     'a refused generation that ran': _ran,
     'a keyed call that ran twice': lambda h: _execute(h, 'c3', 'k'),
