--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -16,14 +16,20 @@
 from standins import faults
 from standins import history as histories
 from standins import recorder
+from standins import shapes
+from standins import topology as topologies
+from standins import verdict as verdicts
 
-__all__ = ['BRIEF', 'Pace', 'Round', 'Verdict', 'run_round']
+__all__ = ['BRIEF', 'Pace', 'Round', 'run_round']
 
 PATHS = {
     'nadroga': ('/availability', '/bookings'),
     'lagotermica': ('/stock', '/confirmations'),
 }
 BALANCER_POLL_S = 0.3
+WHOLE_SHARE = 0.2
+LEFT_SHARE = 0.1
+PLAIN_LATENCY_MS = 40.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,31 +58,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Verdict:
-    """What came of a round."""
-
-    seed: int
-    deployment: str
-    faults: tuple[str, ...]
-    streams: collections.Counter
-    calls: collections.Counter
-    violations: tuple[checkers.Violation, ...]
-    seconds: float
-    trace: pathlib.Path
-    served: tuple[degradation.Served, ...]
-
-    def __str__(self) -> str:
-        word = 'violated' if self.violations else 'held'
-        return (
-            f'round seed={self.seed} deployment={self.deployment}'
-            f' faults={"+".join(self.faults)}'
-            f' streams={_counts(self.streams)} calls={_counts(self.calls)}'
-            f' seconds={self.seconds:.0f} violations='
-            f'{len(self.violations)} verdict={word}'
-        )
-
-
 class Round:
     """Draws a round from its seed and runs it.
 
@@ -95,7 +76,7 @@
         seed: int,
         directory: pathlib.Path,
         names: tuple[str, ...] = (),
-        daemon_module: str = clusters.DAEMON_MODULE,
+        daemon_module: str = shapes.DAEMON_MODULE,
         deployment: str = '',
         pace: Pace = Pace(),
         is_small: bool = False,
@@ -110,10 +91,10 @@
         # The same fault may strike twice.
         drawn_names = self.generator.choices(sorted(faults.FAULTS), k=count)
         self.names = tuple(names or drawn_names)
-        shape = clusters.shape_of(self.deployment, daemon_module)
-        self.shape = clusters.smaller(shape) if is_small else shape
+        shape = shapes.shape_of(self.deployment, daemon_module)
+        self.shape = shapes.smaller(shape) if is_small else shape
 
-    def run(self) -> Verdict:
+    def run(self) -> verdicts.Verdict:
         """Run the round and check its history."""
         began_s = time.monotonic()
         shutil.rmtree(self.directory, ignore_errors=True)
@@ -127,16 +108,38 @@
             self._keep(history, log, violations)
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
-        return Verdict(
+        served = tuple(degradation.served(history, log.window))
+        return self.verdict(
+            violations, history, time.monotonic() - began_s, served
+        )
+
+    def verdict(
+        self,
+        violations: tuple[checkers.Violation, ...],
+        history: histories.History | None = None,
+        seconds: float = 0.0,
+        served: tuple[degradation.Served, ...] = (),
+    ) -> verdicts.Verdict:
+        """Return what came of this round.
+
+        Args:
+            violations: What the checkers found.
+            history: What was recorded; None if the round broke off.
+            seconds: How long it took.
+            served: What was served while the faults lasted.
+        """
+        streams = history.streams if history else ()
+        calls = history.calls if history else ()
+        return verdicts.Verdict(
             self.seed,
             self.deployment,
             self.names,
-            collections.Counter(s.outcome for s in history.streams),
-            collections.Counter(c.outcome for c in history.calls),
+            collections.Counter(s.outcome for s in streams),
+            collections.Counter(c.outcome for c in calls),
             violations,
-            time.monotonic() - began_s,
+            seconds,
             self.directory,
-            tuple(degradation.served(history, log.window)),
+            served,
         )
 
     def _load_and_harm(
@@ -146,6 +149,9 @@
         callers = load.Callers(
             self._mix(cluster), self._entry_points(cluster), self.seed
         )
+        for upstream in cluster.plains():
+            slow = {'latency_ms': PLAIN_LATENCY_MS}
+            cluster.control(upstream.child, slow)
         log.start()
         callers.start(self.pace.stream_callers, self.pace.plain_callers)
         self._pause(cluster, callers, self.pace.warm_up_s)
@@ -165,6 +171,7 @@
             heal()
         self._pause(cluster, callers, self.pace.recovery_s)
         callers.stop()
+        cluster.wait_ready()
         self._await_text(cluster, log)
         log.stop()
         history = log.history
@@ -186,13 +193,15 @@
             booking,
             tuple(cluster.account_keys.values()),
             mean_tokens=self.pace.mean_tokens,
+            whole_share=WHOLE_SHARE,
+            left_share=LEFT_SHARE,
         )
 
     def _entry_points(
         self, cluster: clusters.Cluster
     ) -> list[load.EntryPoint]:
         return [
-            load.EntryPoint(vm, cluster.link(clusters.CALLERS, vm))
+            load.EntryPoint(vm, cluster.link(topologies.CALLERS, vm))
             for vm, child in cluster.daemons.items()
             if child.alive and cluster.is_ready(vm)
         ]
@@ -294,14 +303,10 @@
         path.write_bytes(msgspec.json.encode(trace))
 
 
-def run_round(seed: int, directory: pathlib.Path) -> Verdict:
+def run_round(seed: int, directory: pathlib.Path) -> verdicts.Verdict:
     """Run the round of a seed."""
     return Round(seed, directory).run()
 
 
 def _within(interval: list[float], at_ms: float) -> bool:
     return len(interval) == 2 and interval[0] <= at_ms <= interval[1]
-
-
-def _counts(counter: collections.Counter) -> str:
-    return ','.join(f'{name}:{n}' for name, n in sorted(counter.items()))
