Report: bytes of the peer link between regions

Cause: the money reading showed no traffic of the system itself. Change: the link counts bytes by peer; what went to other regions is told to the report as each interval ends.

--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -46,6 +46,8 @@
 
     Attributes:
         sent: Messages that were handed to a connection.
+        peer_bytes: Bytes that were handed to the connection of each
+            peer, by its name.
         dropped: Messages that found no connection or a full queue.
         rejected: Received messages that were not taken in, by reason.
     """
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.sent: collections.Counter = collections.Counter()
         self.sent_bytes: collections.Counter = collections.Counter()
+        self.peer_bytes: collections.Counter = collections.Counter()
         self.dropped: collections.Counter = collections.Counter()
         self.received: collections.Counter = collections.Counter()
         self.received_bytes: collections.Counter = collections.Counter()
@@ -267,6 +270,7 @@
             return False
         self.counters.sent[kind] += 1
         self.counters.sent_bytes[kind] += len(data)
+        self.counters.peer_bytes[name] += len(data)
         return True
 
     def _run(self) -> None:
--- a/eelgrassknot/kernel/events.py
+++ b/eelgrassknot/kernel/events.py
@@ -9,6 +9,7 @@
 __all__ = [
     'ConfigAdopted',
     'GenerationFacts',
+    'IntervalEnding',
     'PlainCallFacts',
     'RegionTraffic',
     'UpstreamInfo',
@@ -111,3 +112,8 @@
 
     cause: str
     byte_count: int
+
+
+@dataclasses.dataclass(frozen=True)
+class IntervalEnding:
+    """An interval of the report ends; counts not yet told are due."""
--- a/tests/reporting/coverage.feature
+++ b/tests/reporting/coverage.feature
@@ -65,3 +65,12 @@
     And the VM records 1 requests an interval for 1 intervals
     Then deleting by a text that keeps 91.0 days leaves 5 objects
     And deleting by a text that keeps 89.9 days leaves 1 objects
+
+  Scenario: the system's own bytes between regions are counted once
+    Given a VM of "viti-levu" that knows "savusavu-1" in "vanua-levu" and "nadi-2" in "viti-levu"
+    Then what crossed regions grows as follows
+      | nadi-2 | savusavu-1 | stranger | crossed |
+      | 100    | 10         | 5        | 10      |
+      | 300    | 10         | 9        | 0       |
+      | 400    | 50         | 9        | 40      |
+    And once "stranger" is known in "vanua-levu" its 9 bytes are counted
--- a/tests/steps/reporting_coverage.py
+++ b/tests/steps/reporting_coverage.py
@@ -11,6 +11,7 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot import exceptions
 from eelgrassknot.kernel import hub as hubs
+from eelgrassknot.reporting import control_traffic
 from eelgrassknot.reporting import messages
 from eelgrassknot.reporting import metrics
 from eelgrassknot.reporting import object_names
@@ -269,3 +270,29 @@
     )
     context.part.delete_expired()
     assert len(context.objects.bodies) == count, context.objects.bodies
+
+
+@behave.given(
+    'a VM of "{region}" that knows "{first}" in "{first_region}"'
+    ' and "{second}" in "{second_region}"'
+)
+def given_traffic(context, region, first, first_region, second, second_region):
+    context.traffic = control_traffic.ControlTraffic(region)
+    context.traffic.learn(first, first_region)
+    context.traffic.learn(second, second_region)
+
+
+@behave.then('what crossed regions grows as follows')
+def crossed_grows(context):
+    for row in context.table:
+        context.sent = {vm: int(row[vm]) for vm in row.headings[:-1]}
+        crossed = context.traffic.crossed(context.sent)
+        assert crossed == int(row['crossed']), (row, crossed)
+
+
+@behave.then(
+    'once "{vm}" is known in "{region}" its {count:d} bytes are counted'
+)
+def stranger_counted(context, vm, region, count):
+    context.traffic.learn(vm, region)
+    assert context.traffic.crossed(context.sent) == count
