--- a/eelgrassknot/coordination/membership.py
+++ b/eelgrassknot/coordination/membership.py
@@ -14,19 +14,16 @@
 import dataclasses
 import enum
 
+from eelgrassknot.coordination import membership_messages as messages
 from eelgrassknot.coordination import suspicion
 from eelgrassknot import ids
 from eelgrassknot.platforms import base
 from eelgrassknot import states
 
 __all__ = [
-    'HeartbeatHeard',
-    'ListRead',
     'Membership',
     'Peer',
-    'PeerAddress',
     'PeerState',
-    'Tick',
 ]
 
 EXPECTED_GAP_MS = 1_000.0
@@ -47,55 +44,12 @@
     GONE = 'gone'
 
 
-@dataclasses.dataclass(frozen=True)
-class PeerAddress:
-    """Where a peer is and where it listens to its peers."""
-
-    vm: ids.VmId
-    address: str
-    availability_zone: ids.AvailabilityZoneId
-    region: ids.RegionId
-
-
-@dataclasses.dataclass(frozen=True)
-class HeartbeatHeard:
-    """A heartbeat came; the link has checked who sent it.
-
-    Attributes:
-        started_ms: Wall-clock time at which the sender's run began;
-            tells two incarnations of one VM apart where both are heard.
-        unheard: Zone peers that the sender does not hear.
-    """
-
-    vm: ids.VmId
-    incarnation: ids.IncarnationId
-    started_ms: int
-    sequence: int
-    leaving: bool
-    unheard: frozenset[ids.VmId] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True)
-class ListRead:
-    """The platform's list was read."""
-
-    entries: tuple[base.VmEntry, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Tick:
-    """Time has passed."""
-
-
-Event = HeartbeatHeard | ListRead | PeerAddress | Tick
-
-
 @dataclasses.dataclass(slots=True)
 class Peer:
     """What is known of one peer."""
 
     vm: ids.VmId
-    place: PeerAddress | None = None
+    place: messages.PeerAddress | None = None
     introduced_ms: float | None = None
     listed: bool = False
     incarnation: ids.IncarnationId | None = None
@@ -120,7 +74,7 @@
 
     Example:
         >>> membership = Membership('nadi-1', 'nadi-yard')
-        >>> heard = HeartbeatHeard('nadi-2', 'i1', 0, 1, False)
+        >>> heard = messages.HeartbeatHeard('nadi-2', 'i1', 0, 1, False)
         >>> membership.handle(heard, 0.0)
         True
         >>> membership.live()
@@ -136,7 +90,7 @@
         self.retired: dict[ids.IncarnationId, None] = {}
         self.last_tick_ms: float | None = None
 
-    def handle(self, event: Event, now_ms: float) -> bool:
+    def handle(self, event: messages.Event, now_ms: float) -> bool:
         """Take in one event.
 
         Args:
@@ -147,14 +101,14 @@
             Whether the state or the address of any peer has changed.
         """
         match event:
-            case HeartbeatHeard():
+            case messages.HeartbeatHeard():
                 return self._heard(event, now_ms)
-            case PeerAddress(vm):
+            case messages.PeerAddress(vm):
                 return vm != self.vm and self._introduced(event, now_ms)
-            case ListRead(entries):
+            case messages.ListRead(entries):
                 self._read(entries)
                 return self._judge(now_ms)
-            case Tick():
+            case messages.Tick():
                 self._excuse_pause(now_ms)
                 return self._judge(now_ms)
         return False
@@ -201,14 +155,14 @@
     def _peer(self, vm: ids.VmId) -> Peer:
         return self.peers.setdefault(vm, Peer(vm))
 
-    def _introduced(self, event: PeerAddress, now_ms: float) -> bool:
+    def _introduced(self, event: messages.PeerAddress, now_ms: float) -> bool:
         peer = self._peer(event.vm)
         changed = peer.place != event
         peer.place = event
         peer.introduced_ms = now_ms
         return changed
 
-    def _heard(self, event: HeartbeatHeard, now_ms: float) -> bool:
+    def _heard(self, event: messages.HeartbeatHeard, now_ms: float) -> bool:
         if event.vm == self.vm or event.incarnation in self.retired:
             return False
         peer = self._peer(event.vm)
@@ -229,12 +183,14 @@
         # heartbeats would grow with the square of the zone's size.
         return self._judge_peer(peer, now_ms)
 
-    def _replaces(self, event: HeartbeatHeard, peer: Peer) -> bool:
+    def _replaces(self, event: messages.HeartbeatHeard, peer: Peer) -> bool:
         if peer.state in (PeerState.LISTED, PeerState.GONE):
             return True
         return event.started_ms > peer.started_ms
 
-    def _start_incarnation(self, peer: Peer, event: HeartbeatHeard) -> None:
+    def _start_incarnation(
+        self, peer: Peer, event: messages.HeartbeatHeard
+    ) -> None:
         if peer.incarnation is not None:
             self.retired[peer.incarnation] = None
             if len(self.retired) > MAX_RETIRED:
@@ -255,7 +211,7 @@
             peer.listed = True
             if peer.place is None or peer.state is not PeerState.LIVE:
                 # A live peer's own word is newer than the list.
-                peer.place = PeerAddress(
+                peer.place = messages.PeerAddress(
                     entry.vm,
                     f'{entry.address}:{entry.port}',
                     entry.availability_zone,
--- a/eelgrassknot/coordination/membership_part.py
+++ b/eelgrassknot/coordination/membership_part.py
@@ -1,7 +1,6 @@
 """Part of the daemon that keeps track of the other entry VMs."""
 
 import collections.abc
-import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -12,25 +11,20 @@
 from eelgrassknot.coordination import digest
 from eelgrassknot.coordination import links
 from eelgrassknot.coordination import membership as memberships
+from eelgrassknot.coordination import membership_messages
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.coordination import ticker
-from eelgrassknot.coordination import vm_list
+from eelgrassknot.coordination import vm_list_part
 from eelgrassknot import exceptions
 from eelgrassknot import ids
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
 from eelgrassknot import logs
-from eelgrassknot.platforms import base
 from eelgrassknot import states
 
-__all__ = ['EntryVmsChanged', 'MembershipPart', 'VmListRead']
+__all__ = ['EntryVmsChanged', 'MembershipPart']
 
 TICK_MS = 200.0
-LIST_POLL_MS = 2_000.0
-# The list is long where there are many VMs: each VM then reads it more
-# seldom and tells its zone what has changed.
-LIST_ENTRY_BYTES = 150
-LIST_BYTES_PER_S = 3_000.0
 FAR_INTERVAL_MS = 2_000.0
 INTRODUCTION_MS = 10_000.0
 # How often an address of the settings is asked who is there.
@@ -47,13 +41,6 @@
 PayloadSource = collections.abc.Callable[[float], digest.Payload]
 
 
-@dataclasses.dataclass(frozen=True)
-class VmListRead:
-    """The platform's list was read."""
-
-    entries: tuple[base.VmEntry, ...]
-
-
 @dataclasses.dataclass(frozen=True)
 class EntryVmsChanged:
     """The live entry VMs of the zone, this one among them, changed.
@@ -69,7 +56,7 @@
 
 @parts.part('membership', after=('peers', 'config'))
 class MembershipPart(parts.Part):
-    """Sends heartbeats, hears them, and reads the platform's list.
+    """Sends heartbeats, hears them, and keeps the links to peers.
 
     Attributes:
         membership: What is known of the peers; guarded by ``lock``.
@@ -86,18 +73,16 @@
         self.lock = threading.Lock()
         self.links = links.Links({}, {})
         self.seen: dict[ids.VmId, memberships.PeerState] = {}
-        self.entries: dict[ids.VmId, base.VmEntry] = {}
         self.announced: EntryVmsChanged | None = None
         self.payload: PayloadSource | None = None
         self.far_loads: collections.abc.Callable[[], tuple] = tuple
         self.next_heartbeat_ms = float('-inf')
         self.next_far_ms = float('-inf')
-        self.next_list_ms = float('-inf')
         self.next_introduction_ms = float('-inf')
         self.next_address_ms = float('-inf')
         self.introduce_to: set[str] = set()
-        self.executor = concurrent.futures.ThreadPoolExecutor(1, 'vm-list')
         self.ticker = ticker.Ticker('membership', TICK_MS, self._tick)
+        node.hub.subscribe(vm_list_part.VmListRead, self._listed)
 
     def start(self) -> None:
         """Begin to send and hear heartbeats."""
@@ -105,7 +90,6 @@
         self.link = self.node.part_set.parts['peers'].link
         self.link.on_message(messages.Heartbeat, self._heard)
         self.link.on_message(messages.Introduction, self._introduced)
-        self.link.on_message(messages.ListChange, self._list_changed)
         for address in self.node.settings.known_peers:
             self.link.connect(address, address)
             self.introduce_to.add(address)
@@ -118,7 +102,6 @@
     def stop(self) -> None:
         """Send no more."""
         self.ticker.stop()
-        self.executor.shutdown(wait=False, cancel_futures=True)
 
     def status(self) -> dict[str, object]:
         """Return the peers as this VM knows them."""
@@ -187,7 +170,7 @@
     def _heard(self, envelope: messages.Envelope) -> None:
         heartbeat = envelope.message
         self._apply(
-            memberships.HeartbeatHeard(
+            membership_messages.HeartbeatHeard(
                 envelope.vm,
                 envelope.incarnation,
                 envelope.started_ms,
@@ -200,7 +183,7 @@
     def _introduced(self, envelope: messages.Envelope) -> None:
         told = envelope.message
         self._apply(
-            memberships.PeerAddress(
+            membership_messages.PeerAddress(
                 envelope.vm, told.address, told.availability_zone, told.region
             )
         )
@@ -212,11 +195,11 @@
             self.introduce_to.discard(told.address)
             self.link.disconnect(told.address)
 
-    def _apply(self, event: memberships.Event) -> None:
+    def _apply(self, event: membership_messages.Event) -> None:
         now_ms = self.node.clock.now_ms()
         with self.lock:
             changed = self.membership.handle(event, now_ms)
-        if changed or isinstance(event, memberships.ListRead):
+        if changed or isinstance(event, membership_messages.ListRead):
             self._changed()
 
     def _changed(self) -> None:
@@ -247,10 +230,7 @@
 
     def _tick(self) -> None:
         now_ms = self.node.clock.now_ms()
-        self._apply(memberships.Tick())
-        if now_ms >= self.next_list_ms:
-            self.next_list_ms = now_ms + self._list_interval_ms()
-            ticker.submit(self.executor, self._read_list)
+        self._apply(membership_messages.Tick())
         self._introduce(now_ms)
         if now_ms >= self.next_heartbeat_ms:
             self._send_heartbeats(now_ms)
@@ -258,31 +238,8 @@
             self.next_far_ms = now_ms + FAR_INTERVAL_MS
             self.link.broadcast(self.links.far, self._far_heartbeat())
 
-    def _list_interval_ms(self) -> float:
-        entry_ms = LIST_ENTRY_BYTES / LIST_BYTES_PER_S * clocks.MS_PER_SECOND
-        interval_ms = max(LIST_POLL_MS, len(self.entries) * entry_ms)
-        # Spread the reads of VMs that were started together.
-        return interval_ms * self.node.generator.uniform(0.8, 1.2)
-
-    def _read_list(self) -> None:
-        match self.node.platform.vms.list_vms():
-            case result.Ok(entries):
-                listed = {entry.vm: entry for entry in entries}
-                change = vm_list.difference(self.entries, listed)
-                if self.entries and change is not None:
-                    self.link.broadcast(self.links.zone, change)
-                self._listed(listed)
-
-    def _list_changed(self, envelope: messages.Envelope) -> None:
-        # Before this VM has read the list itself, a change tells little.
-        if self.entries:
-            self._listed(vm_list.apply(self.entries, envelope.message))
-
-    def _listed(self, listed: dict[ids.VmId, base.VmEntry]) -> None:
-        self.entries = listed
-        entries = tuple(listed.values())
-        self._apply(memberships.ListRead(entries))
-        self.node.hub.publish(VmListRead(entries))
+    def _listed(self, event: vm_list_part.VmListRead) -> None:
+        self._apply(membership_messages.ListRead(event.entries))
 
     def _introduction(self, answer: bool) -> messages.Introduction:
         settings = self.node.settings
--- a/eelgrassknot/coordination/observation.py
+++ b/eelgrassknot/coordination/observation.py
@@ -19,6 +19,8 @@
 MIN_INTERVAL_MS = 250.0
 MAX_INTERVAL_MS = 4_000.0
 STALE_MS = 6_000.0
+# The second observer only stands in; it need not be as fresh.
+STAND_IN_INTERVAL_MS = 8_000.0
 MS_PER_SECOND = 1_000.0
 
 
@@ -88,10 +90,13 @@
             if duty.rank and now_ms - duty.heard_ms < STALE_MS:
                 continue
             duty.in_flight = True
-            duty.next_ms = now_ms + self.interval_ms
+            duty.next_ms = now_ms + self._interval_ms(duty)
             due.append(upstream)
         return due
 
+    def _interval_ms(self, duty: _Duty) -> float:
+        return STAND_IN_INTERVAL_MS if duty.rank else self.interval_ms
+
     def answered(self, upstream: ids.UpstreamId) -> None:
         """Take in that a poll has ended, well or badly."""
         duty = self.duties.get(upstream)
--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -5,7 +5,6 @@
 that has gone silent and replace it by a new one.
 """
 
-import collections
 import collections.abc
 import concurrent.futures
 import threading
@@ -14,13 +13,14 @@
 import zmq
 
 from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import link_counters
 from eelgrassknot.coordination import peer_codec
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot import exceptions
 from eelgrassknot import ids
 from eelgrassknot import logs
 
-__all__ = ['LinkCounters', 'PeerLink']
+__all__ = ['PeerLink']
 
 SEND_QUEUE_MESSAGES = 64
 RECEIVE_QUEUE_MESSAGES = 4_096
@@ -41,24 +41,6 @@
 ]
 
 
-class LinkCounters:
-    """What passed over the link, by kind of message.
-
-    Attributes:
-        sent: Messages that were handed to a connection.
-        dropped: Messages that found no connection or a full queue.
-        rejected: Received messages that were not taken in, by reason.
-    """
-
-    def __init__(self) -> None:
-        self.sent: collections.Counter = collections.Counter()
-        self.sent_bytes: collections.Counter = collections.Counter()
-        self.dropped: collections.Counter = collections.Counter()
-        self.received: collections.Counter = collections.Counter()
-        self.received_bytes: collections.Counter = collections.Counter()
-        self.rejected: collections.Counter = collections.Counter()
-
-
 class PeerLink:
     """Sends to peers and hands what they send to handlers.
 
@@ -99,7 +81,7 @@
         self.queries: dict[type, QueryHandler] = {}
         self.waiting: dict[int, concurrent.futures.Future] = {}
         self.requests = 0
-        self.counters = LinkCounters()
+        self.counters = link_counters.LinkCounters()
         # Guards the sending sockets, which several threads use in turn,
         # and keeps messages in the order of their sequence numbers.
         self.lock = threading.Lock()
--- /dev/null
+++ b/eelgrassknot/coordination/vm_list_part.py
@@ -0,0 +1,105 @@
+"""Part of the daemon that reads the platform's list of VMs."""
+
+import concurrent.futures
+import dataclasses
+
+import result
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.coordination import ticker
+from eelgrassknot.coordination import vm_list
+from eelgrassknot.kernel import events
+from eelgrassknot.kernel import node as kernel_node
+from eelgrassknot.kernel import parts
+from eelgrassknot.platforms import base
+from eelgrassknot import states
+
+__all__ = ['VmListPart', 'VmListRead']
+
+TICK_MS = 500.0
+LIST_POLL_MS = 2_000.0
+# The list is long where there are many VMs: each VM then reads it more
+# seldom and tells its zone what has changed.
+LIST_ENTRY_BYTES = 150
+LIST_BYTES_PER_S = 3_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class VmListRead:
+    """The platform's list was read, or a peer told a change of it."""
+
+    entries: tuple[base.VmEntry, ...]
+
+
+@parts.part('vm_list', after=('membership',))
+class VmListPart(parts.Part):
+    """Publishes the list, and tells peers what has changed in it.
+
+    Attributes:
+        entries: The list as it is known; empty before the first read.
+    """
+
+    def __init__(self, node: kernel_node.Node) -> None:
+        self.node = node
+        self.entries: vm_list.Listed = {}
+        self.next_read_ms = float('-inf')
+        self.seen_live = False
+        self.executor = concurrent.futures.ThreadPoolExecutor(1, 'vm-list')
+        self.ticker = ticker.Ticker('vm-list', TICK_MS, self._tick)
+
+    def start(self) -> None:
+        """Begin to read the list."""
+        self.link = self.node.part_set.parts['peers'].link
+        self.membership = self.node.part_set.parts['membership']
+        self.link.on_message(messages.ListChange, self._told)
+        self._tick()
+        self.ticker.start()
+
+    def stop(self) -> None:
+        """Read no more."""
+        self.ticker.stop()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def _tick(self) -> None:
+        now_ms = self.node.clock.now_ms()
+        if now_ms >= self.next_read_ms:
+            self.next_read_ms = now_ms + self._interval_ms()
+            ticker.submit(self.executor, self._read)
+
+    def _interval_ms(self) -> float:
+        entry_ms = LIST_ENTRY_BYTES / LIST_BYTES_PER_S * clocks.MS_PER_SECOND
+        interval_ms = max(LIST_POLL_MS, len(self.entries) * entry_ms)
+        # Spread the reads of VMs that were started together.
+        return interval_ms * self.node.generator.uniform(0.8, 1.0)
+
+    def _read(self) -> None:
+        match self.node.platform.vms.list_vms():
+            case result.Ok(entries):
+                listed = {entry.vm: entry for entry in entries}
+                change = vm_list.difference(self.entries, listed)
+                if self.entries and change is not None:
+                    self.link.broadcast(self.membership.links.zone, change)
+                self._publish(listed)
+
+    def _told(self, envelope: messages.Envelope) -> None:
+        # Before this VM has read the list itself, a change tells little.
+        if self.entries:
+            self._publish(vm_list.apply(self.entries, envelope.message))
+
+    def _publish(self, listed: vm_list.Listed) -> None:
+        self.entries = listed
+        self.node.hub.publish(VmListRead(tuple(listed.values())))
+        self._look_for_leave(listed)
+
+    def _look_for_leave(self, listed: vm_list.Listed) -> None:
+        own = listed.get(self.node.settings.vm)
+        if own is None:
+            return
+        if own.state is states.UpstreamState.LIVE:
+            self.seen_live = True
+        elif self.seen_live:
+            # An entry that was never live may be that of the VM which
+            # had this name before.
+            self.seen_live = False
+            self.node.hub.publish(events.LeaveTold())
--- a/eelgrassknot/daemon.py
+++ b/eelgrassknot/daemon.py
@@ -12,6 +12,7 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot import exceptions
 from eelgrassknot import ids
+from eelgrassknot.kernel import events
 from eelgrassknot.kernel import hub as hubs
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
@@ -68,6 +69,7 @@
         node: The node to run.
         leave: Set when the node has to leave.
     """
+    node.hub.subscribe(events.LeaveTold, lambda _: leave.set())
     node.part_set.start()
     node.state = states.DaemonState.READY
     logs.event('ready', vm=node.settings.vm, incarnation=node.incarnation)
--- a/eelgrassknot/kernel/events.py
+++ b/eelgrassknot/kernel/events.py
@@ -9,6 +9,7 @@
 __all__ = [
     'ConfigAdopted',
     'GenerationFacts',
+    'LeaveTold',
     'PlainCallFacts',
     'RegionTraffic',
     'UpstreamInfo',
@@ -24,6 +25,11 @@
     text: services_text.ServicesText
 
 
+@dataclasses.dataclass(frozen=True)
+class LeaveTold:
+    """The platform's list says that this VM is leaving."""
+
+
 @dataclasses.dataclass(frozen=True)
 class UpstreamInfo:
     """An upstream as the membership knows it.
