Digests tell present memory; what peers of other zones hold is read from reports

Cause: a digest carries requests and one figure of tokens, and peers of other zones send none; the forecast took what was not told as absent. Change: the figure is the memory held now; what a report shows beyond own and told holdings is taken as held by others.

--- a/eelgrassknot/policy/engine_view.py
+++ b/eelgrassknot/policy/engine_view.py
@@ -15,11 +15,11 @@
 from eelgrassknot.policy import memory
 from eelgrassknot.policy import messages
 
-__all__ = ['DIGEST_HORIZON', 'EngineView', 'HeldRequest', 'Others']
+__all__ = ['EngineView', 'HeldRequest', 'Others']
 
-DIGEST_HORIZON = 2
 DIGEST_KEPT_MS = 2_000.0
 OTHERS_KEPT_MS = 200.0
+UNTOLD_SMOOTHING = 0.3
 REFRESH_TOKENS = 16
 
 
@@ -87,6 +87,8 @@
         self.own_tokens_reported = 0.0
         self.peers: dict[ids.VmId, PeerHolding] = {}
         self.peers_heard_ms = -math.inf
+        self.untold_running = 0.0
+        self.untold_tokens = 0.0
         self.others_known: Others | None = None
         self.others_until_ms = -math.inf
 
@@ -125,6 +127,7 @@
         self.reported_ms = now_ms
         self.own_running_reported = len(self.own)
         self.own_tokens_reported = self.own_forecast.means[0]
+        self._learn_untold(load, now_ms)
         self.others_known = None
         if before is None or load.preemptions < before.preemptions:
             return 0
@@ -151,38 +154,39 @@
 
     def share(self) -> messages.UpstreamShare:
         """Return what the peers are told of this VM's requests."""
-        means = self.own_forecast.means
-        return messages.UpstreamShare(
-            self.info.upstream,
-            len(self.own),
-            int(means[DIGEST_HORIZON]),
-            int(means[0]),
-        )
+        held = int(self.own_forecast.means[0])
+        return messages.UpstreamShare(self.info.upstream, len(self.own), held)
 
     def _others(self, typical: memory.MemoryForecast, now_ms: float) -> Others:
-        if now_ms - self.peers_heard_ms <= DIGEST_KEPT_MS:
-            return self._others_by_digests(typical, now_ms)
-        return self._others_by_report(typical)
+        if now_ms - self.peers_heard_ms > DIGEST_KEPT_MS:
+            return self._others_by_report(typical)
+        running, held = self._told(now_ms)
+        running += self.untold_running
+        held += self.untold_tokens
+        forecast = memory.MemoryForecast()
+        forecast.add_scaled(typical, held / max(1.0, typical.means[0]))
+        return Others(running, forecast)
 
-    def _others_by_digests(
-        self, typical: memory.MemoryForecast, now_ms: float
-    ) -> Others:
+    def _told(self, now_ms: float) -> tuple[float, float]:
         fresh = [
             holding.digest
             for holding in self.peers.values()
             if now_ms - holding.heard_ms <= DIGEST_KEPT_MS
         ]
         running = sum(digest.running for digest in fresh)
-        held = sum(digest.held_tokens for digest in fresh)
-        expected = sum(digest.expected_tokens for digest in fresh)
-        forecast = memory.MemoryForecast()
-        if typical.means[DIGEST_HORIZON] > 0 and typical.means[0] > 0:
-            now_scale = held / typical.means[0]
-            later_scale = expected / typical.means[DIGEST_HORIZON]
-            forecast.add_between(
-                typical, now_scale, later_scale, DIGEST_HORIZON
-            )
-        return Others(running, forecast)
+        return running, sum(digest.expected_tokens for digest in fresh)
+
+    def _learn_untold(self, load: messages.EngineLoad, now_ms: float) -> None:
+        # Peers in other zones do not tell this VM what they hold; what
+        # the report shows beyond what was told is theirs.
+        running, held = self._told(now_ms)
+        running = load.running + load.waiting - running - len(self.own)
+        held = load.kv_tokens_used - held - self.own_forecast.means[0]
+        part = UNTOLD_SMOOTHING
+        self.untold_running += part * (running - self.untold_running)
+        self.untold_tokens += part * (held - self.untold_tokens)
+        self.untold_running = max(0.0, self.untold_running)
+        self.untold_tokens = max(0.0, self.untold_tokens)
 
     def _others_by_report(self, typical: memory.MemoryForecast) -> Others:
         forecast = memory.MemoryForecast()
--- a/eelgrassknot/policy/messages.py
+++ b/eelgrassknot/policy/messages.py
@@ -161,16 +161,14 @@
 
     Attributes:
         running: Requests that it has there.
-        expected_tokens: Memory in tokens that they are expected to hold
-            512 tokens from then.
-        held_tokens: Memory in tokens that they hold now.
+        expected_tokens: Memory in tokens that they hold there by what
+            the peer knows: their prompts and their output so far.
     """
 
     vm: ids.VmId
     upstream: ids.UpstreamId
     running: int
     expected_tokens: int
-    held_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -269,7 +267,6 @@
     upstream: ids.UpstreamId
     running: int
     expected_tokens: int
-    held_tokens: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
