--- a/benchmarks/policy/plan.py
+++ b/benchmarks/policy/plan.py
@@ -28,6 +28,12 @@
     'longer outputs': world.Disturbance(shift_at_ms=MIDDLE_MS),
 }
 
+# Short questions with long answers: memory fills long after admission.
+LONG_ANSWERS = world.Disturbance(
+    shift_at_ms=0.0, shift_factor=8.0, prompt_factor=0.1
+)
+LONG_ANSWERS_LOAD = 0.22
+
 ABLATIONS = {
     'forecast': {'forecast': False},
     'quantile': {'quantile': False},
@@ -77,6 +83,7 @@
         self._disturbances('nadroga')
         self._flood('nadroga')
         self._ablations('nadroga')
+        self._long_answers('nadroga')
         self.runs.sort(key=lambda run: run.scenario.policy != OURS)
 
     def _add(
@@ -137,6 +144,29 @@
                 disturbance=flood,
             )
 
+    def _long_answers(self, name: str) -> None:
+        part = f'{name}, long answers to short prompts'
+        for policy in POLICIES:
+            self._add(
+                part,
+                policy,
+                name,
+                policy,
+                LONG_ANSWERS_LOAD,
+                disturbance=LONG_ANSWERS,
+            )
+        for label in ('forecast', 'quantile', 'feedback'):
+            options = placement.PlacementOptions(**ABLATIONS[label])
+            self._add(
+                part,
+                f'without {label}',
+                name,
+                OURS,
+                LONG_ANSWERS_LOAD,
+                disturbance=LONG_ANSWERS,
+                options=options,
+            )
+
     def _ablations(self, name: str) -> None:
         for label, changes in ABLATIONS.items():
             options = placement.PlacementOptions(**changes)
--- a/benchmarks/policy/workload.py
+++ b/benchmarks/policy/workload.py
@@ -107,12 +107,14 @@
     Attributes:
         shift_at_ms: When output lengths grow, or None.
         shift_factor: By what factor.
+        prompt_factor: Factor on the size of all prompts.
         flood_account: Account that sends more, or None.
         flood_factor: How many times its usual rate.
     """
 
     shift_at_ms: float | None = None
     shift_factor: float = 2.0
+    prompt_factor: float = 1.0
     flood_account: str | None = None
     flood_factor: float = 1.0
 
@@ -191,7 +193,7 @@
     deadline_ms = BATCH_DEADLINE_MS if batch else INTERACTIVE_DEADLINE_MS
     near = generator.random() < _first_region_share(deployment)
     region = deployment.zones[0 if near else -1][1]
-    prompt = TEMPLATE_TOKENS + own
+    prompt = int((TEMPLATE_TOKENS + own) * shape.prompt_factor) + 1
     return Request(
         name=f'r{index}',
         at_ms=now_ms,
@@ -225,8 +227,8 @@
 def _prefixes(
     index: int, account: str, template: int, prompt_tokens: int
 ) -> tuple[str, ...]:
-    shared = TEMPLATE_TOKENS // TOKENS_PER_PREFIX
     whole = prompt_tokens // TOKENS_PER_PREFIX
+    shared = min(TEMPLATE_TOKENS // TOKENS_PER_PREFIX, whole)
     common = [f'{account}/{template}/{k}' for k in range(shared)]
     own = [f'r{index}/{k}' for k in range(shared, whole)]
     return tuple(common + own)
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -47,7 +47,9 @@
         slow_at_ms: When the first engine falls to a third of its speed.
         report_lag_ms: How old load reports are when they come.
         cache_events_lost: Share of cache events that are lost.
-        shift_at_ms: When output lengths double, or None.
+        shift_at_ms: When output lengths grow, or None.
+        shift_factor: By what factor.
+        prompt_factor: Factor on the size of all prompts.
         flood_account: Account that floods, or None.
         flood_factor: How many times its usual rate it then sends.
     """
@@ -57,6 +59,8 @@
     report_lag_ms: float = REPORT_LAG_MS
     cache_events_lost: float = 0.0
     shift_at_ms: float | None = None
+    shift_factor: float = 2.0
+    prompt_factor: float = 1.0
     flood_account: str | None = None
     flood_factor: float = 1.0
 
@@ -119,6 +123,8 @@
         scenario = self.scenario
         shape = workload.Shape(
             shift_at_ms=scenario.disturbance.shift_at_ms,
+            shift_factor=scenario.disturbance.shift_factor,
+            prompt_factor=scenario.disturbance.prompt_factor,
             flood_account=scenario.disturbance.flood_account,
             flood_factor=scenario.disturbance.flood_factor,
         )
--- a/eelgrassknot/policy/admission.py
+++ b/eelgrassknot/policy/admission.py
@@ -43,10 +43,14 @@
 
     Args:
         counters: Token counters of the accounts.
+        fair: Whether these order the queue; else the oldest goes first.
     """
 
-    def __init__(self, counters: fairness.TokenCounters) -> None:
+    def __init__(
+        self, counters: fairness.TokenCounters, fair: bool = True
+    ) -> None:
         self.counters = counters
+        self.fair = fair
         self.lanes: dict[tuple, collections.deque[QueuedRequest]] = {}
         self.size = 0
         self.rate_per_s = 0.0
@@ -166,8 +170,10 @@
             or now_ms - lane[0].arrived_ms >= BATCH_AGEING_MS
         ]
         keys = urgent or list(self.lanes)
-        account = self.counters.lowest([key[1] for key in keys])
-        lanes = [key for key in keys if key[1] == account]
+        lanes = keys
+        if self.fair:
+            account = self.counters.lowest([key[1] for key in keys])
+            lanes = [key for key in keys if key[1] == account]
         return min(lanes, key=lambda key: self.lanes[key][0].arrived_ms)
 
     def _push_out(self) -> QueuedRequest:
--- a/eelgrassknot/policy/engine_pool.py
+++ b/eelgrassknot/policy/engine_pool.py
@@ -62,7 +62,7 @@
         self.options = options
         self.views: dict[ids.UpstreamId, engine_view.EngineView] = {}
         self.held_at: dict[ids.RequestId, engine_view.EngineView] = {}
-        self.queue = admission.EntryQueue(counters)
+        self.queue = admission.EntryQueue(counters, options.fairness)
         self.predictor = length.LengthPredictor()
         self.affinity = prefix.PrefixAffinity()
         self.placement = placement.Placement(
@@ -134,7 +134,12 @@
                 )
             ]
         queued = admission.QueuedRequest(profile, now_ms, deadline_ms)
-        return self._enqueue(queued) + self.pump(now_ms)
+        if not self.queue.size:
+            action = self._start(queued, now_ms)
+            if action is not None:
+                self.queue.left += 1
+                return [action]
+        return self._enqueue(queued)
 
     def retry(
         self,
@@ -144,11 +149,12 @@
     ) -> list[messages.Action]:
         """Place a request elsewhere, or queue it again."""
         self.end(profile.request, False, now_ms)
-        views = self._usable(True, now_ms) + self._usable(False, now_ms)
-        others = [view for view in views if view.info.upstream != failed]
-        action = self._place(profile, others, now_ms)
-        if action is not None:
-            return [action]
+        for near in (True, False):
+            views = self._usable(near, now_ms)
+            others = [view for view in views if view.info.upstream != failed]
+            action = self._place(profile, others, now_ms)
+            if action is not None:
+                return [action]
         deadline_ms = profile.deadline_ms
         if deadline_ms is None:
             deadline_ms = now_ms + _patience_ms(profile.priority)
@@ -230,19 +236,25 @@
         actions: list[messages.Action] = []
         if not self.queue.size:
             return actions
-        near = self._usable(True, now_ms)
         while True:
             queued = self.queue.head(now_ms)
             if queued is None:
                 return actions
-            action = self._place(queued.profile, near, now_ms)
-            if action is None:
-                action = self._spill(queued, bool(near), now_ms)
+            action = self._start(queued, now_ms)
             if action is None:
                 return actions
             self.queue.pop(queued)
             actions.append(action)
 
+    def _start(
+        self, queued: admission.QueuedRequest, now_ms: float
+    ) -> messages.Dispatch | None:
+        near = self._usable(True, now_ms)
+        action = self._place(queued.profile, near, now_ms)
+        if action is not None:
+            return action
+        return self._spill(queued, bool(near), now_ms)
+
     def _enqueue(
         self, queued: admission.QueuedRequest
     ) -> list[messages.Action]:
--- a/eelgrassknot/policy/objective.py
+++ b/eelgrassknot/policy/objective.py
@@ -7,7 +7,7 @@
 __all__ = ['Knobs', 'knobs']
 
 BASE_DEVIATIONS = 0.0
-STALL_DEVIATIONS = 1.2
+STALL_DEVIATIONS = 2.0
 SLOWEST_TOKEN_GAP_MS = 70.0
 TAIL_TOKEN_GAP_MS = 50.0
 LANE_WEIGHT = 5.0
