--- a/eelgrassknot/policy/placement.py
+++ b/eelgrassknot/policy/placement.py
@@ -139,20 +139,21 @@
         """
         best = None
         best_cost = math.inf
-        for view in self._sample(views, profile.prefixes):
+        home = self._home(views, profile.prefixes)
+        for view in self._sample(views, home):
             allowance = book.allowance(view.info.upstream, now_ms)
             others = view.others(self.typical, now_ms)
             running = len(view.own) + others.running
             if running and self._is_closed(view, running, allowance):
                 continue
-            cost = self._cost(profile, view, running, knobs, affinity)
+            cost = self._cost(profile, view, knobs, affinity)
             if cost >= best_cost:
                 continue
             total = _total_tokens(view)
             peak = self._peak(footprint, view, others, knobs)
             if running and peak > total * USABLE_MEMORY:
                 continue
-            cost += knobs.memory_weight * peak / total
+            cost += peak / total
             if cost < best_cost:
                 best = view
                 best_cost = cost
@@ -166,20 +167,27 @@
     def _sample(
         self,
         views: Sequence[engine_view.EngineView],
-        prefixes: tuple[str, ...],
-    ) -> list[engine_view.EngineView]:
-        count = len(views)
-        if count <= self.options.sampled:
-            return list(views)
+        home: engine_view.EngineView | None,
+    ) -> Sequence[engine_view.EngineView]:
+        if len(views) <= self.options.sampled:
+            return views
         found = self.generator.sample(views, self.options.sampled)
-        if prefixes and self.options.affinity:
-            # Prompts that begin alike meet again at the same engine, even
-            # where the sample is small against the number of engines.
-            index = xxhash.xxh64_intdigest(prefixes[0].encode()) % count
-            if views[index] not in found:
-                found.append(views[index])
+        if home is not None and home not in found:
+            found.append(home)
         return found
 
+    def _home(
+        self,
+        views: Sequence[engine_view.EngineView],
+        prefixes: tuple[str, ...],
+    ) -> engine_view.EngineView | None:
+        # Prompts that begin alike meet again at the same engine, even
+        # where the sample is small against the number of engines.
+        if not prefixes or not views or not self.options.affinity:
+            return None
+        digest = xxhash.xxh64_intdigest(prefixes[0].encode())
+        return views[digest % len(views)]
+
     def _is_closed(
         self, view: engine_view.EngineView, running: float, allowance: float
     ) -> bool:
@@ -191,7 +199,6 @@
         self,
         profile: messages.RequestProfile,
         view: engine_view.EngineView,
-        running: float,
         knobs: objective.Knobs,
         affinity: prefix.PrefixAffinity,
     ) -> float:
@@ -199,8 +206,7 @@
         uncovered = profile.prompt_tokens
         if self.options.affinity:
             uncovered -= affinity.covered_tokens(name, profile.prefixes)
-        cost = knobs.batch_weight * running / view.limit.limit
-        cost += max(0, uncovered) / PREFILL_SCALE_TOKENS
+        cost = max(0, uncovered) / PREFILL_SCALE_TOKENS
         if self.options.lane and not self.lane.fits(name, uncovered):
             cost += knobs.lane_weight
         if view.info.availability_zone != self.availability_zone:
