--- a/eelgrassknot/policy/dispatcher.py
+++ b/eelgrassknot/policy/dispatcher.py
@@ -1,6 +1,5 @@
 """Dispatcher: decides when and where each request of a VM runs."""
 
-import dataclasses
 import random
 
 from eelgrassknot import ids
@@ -14,47 +13,15 @@
 from eelgrassknot.policy import plain
 from eelgrassknot.policy import region_budget
 from eelgrassknot.policy import retry_budget
+from eelgrassknot.policy import status
 from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
-__all__ = ['Dispatcher', 'DispatcherStatus', 'UpstreamStatus']
+__all__ = ['Dispatcher']
 
 RETRY_AFTER_MS = 1_000.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamStatus:
-    """What the dispatcher believes of one upstream, for operators.
-
-    Attributes:
-        own_running: Requests of this VM there.
-        limit: Concurrency limit over all VMs; None for plain services.
-        token_interval_ms: Smoothed time for one token; 0 if unknown.
-        in_use: Whether it may be given work.
-    """
-
-    upstream: ids.UpstreamId
-    service: ids.ServiceName
-    own_running: int
-    limit: float | None
-    token_interval_ms: float
-    in_use: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DispatcherStatus:
-    """State of the dispatcher, for operators.
-
-    Attributes:
-        queued: Requests that wait, by service.
-        spilled_bytes: Bytes granted on the link between regions.
-    """
-
-    queued: dict[ids.ServiceName, int]
-    upstreams: tuple[UpstreamStatus, ...]
-    spilled_bytes: float
-
-
 class Dispatcher:
     """Takes in events and the time; returns dispatches and refusals.
 
@@ -77,14 +44,10 @@
         self.generator = generator
         self.options = options or placement.PlacementOptions()
         self.profiles: dict[ids.RequestId, messages.RequestProfile] = {}
-        self.plain_upstreams: dict[
-            ids.UpstreamId, kernel_events.UpstreamInfo
-        ] = {}
-        self.plain_placed: dict[ids.RequestId, ids.UpstreamId] = {}
-        self.plain = plain.PlainPlacement(generator)
         self.pools: dict[ids.ServiceName, engine_pool.EnginePool] = {}
         self.counters = fairness.TokenCounters()
         self.book = health.HealthBook()
+        self.plain = plain.PlainPool(region, generator, self.book)
         self.link = region_budget.RegionBudget()
         self.limits = limits.AccountLimits()
         self.retries: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
@@ -139,23 +102,25 @@
         ]
         return messages.Announcement(tuple(shares), tuple(demands))
 
-    def status(self, now_ms: float) -> DispatcherStatus:
+    def status(self, now_ms: float) -> status.DispatcherStatus:
         """Return the dispatcher's state, for operators.
 
         Args:
             now_ms: The present time.
         """
         upstreams = [
-            self._engine_status(view, now_ms)
+            status.engine_status(view, self.book, now_ms)
             for pool in self.pools.values()
             for view in pool.views.values()
         ]
         upstreams += [
-            self._plain_status(info, now_ms)
-            for info in self.plain_upstreams.values()
+            status.plain_status(
+                info, self.plain.running[name], self.book, now_ms
+            )
+            for name, info in self.plain.upstreams.items()
         ]
         queued = {name: p.queue.size for name, p in self.pools.items()}
-        return DispatcherStatus(
+        return status.DispatcherStatus(
             queued, tuple(upstreams), self.link.spilled_bytes
         )
 
@@ -194,7 +159,7 @@
         self._budget(profile.service).earn()
         self.profiles[profile.request] = profile
         if profile.kind is states.ServiceKind.PLAIN:
-            return [self._place_plain(profile, None, now_ms)]
+            return self._settled([self.plain.place(profile, None, now_ms)])
         pool = self._pool(profile.service)
         return self._settled(pool.arrive(profile, now_ms))
 
@@ -211,8 +176,8 @@
             )
             return [refusal, *actions]
         if profile.kind is states.ServiceKind.PLAIN:
-            self._release_plain(request)
-            return [self._place_plain(profile, failed, now_ms)]
+            self.plain.release(request)
+            return self._settled([self.plain.place(profile, failed, now_ms)])
         pool = self._pool(profile.service)
         return self._settled(pool.retry(profile, failed, now_ms))
 
@@ -223,7 +188,7 @@
         if profile is None:
             return []
         if profile.kind is states.ServiceKind.PLAIN:
-            upstream = self._release_plain(request)
+            upstream = self.plain.release(request)
             if complete and upstream is not None:
                 self.book.succeeded(upstream)
             return []
@@ -235,7 +200,7 @@
         self.book.failed(upstream, now_ms)
         for pool in self.pools.values():
             if upstream in pool.views:
-                pool.forget_usable()
+                pool.reach.forget()
 
     def _cancelled(self, request: ids.RequestId) -> None:
         profile = self.profiles.get(request)
@@ -264,7 +229,7 @@
     def _reported(
         self, load: messages.EngineLoad, now_ms: float
     ) -> list[messages.Action]:
-        if load.upstream in self.plain_upstreams:
+        if load.upstream in self.plain.upstreams:
             self.plain.report(load.upstream, load.running)
             return []
         for pool in self.pools.values():
@@ -295,10 +260,10 @@
         by_service: dict[ids.ServiceName, list] = {
             name: [] for name in self.pools
         }
-        self.plain_upstreams = {}
+        self.plain.upstreams = {}
         for info in upstreams:
             if info.kind is states.ServiceKind.PLAIN:
-                self.plain_upstreams[info.upstream] = info
+                self.plain.upstreams[info.upstream] = info
             else:
                 by_service.setdefault(info.service, []).append(info)
         actions: list[messages.Action] = []
@@ -313,6 +278,7 @@
     ) -> None:
         self.text = text
         self.withheld = frozenset(text.withheld_upstreams)
+        self.plain.withheld = self.withheld
         self.counters.weights = {
             account.client_account: account.weight
             for account in text.client_accounts
@@ -354,69 +320,3 @@
             if isinstance(action, messages.Refuse):
                 self.profiles.pop(action.request, None)
         return actions
-
-    def _place_plain(
-        self,
-        profile: messages.RequestProfile,
-        failed: ids.UpstreamId | None,
-        now_ms: float,
-    ) -> messages.Action:
-        candidates = self._plain_candidates(profile, failed, now_ms)
-        if not candidates:
-            self.profiles.pop(profile.request, None)
-            return messages.Refuse(
-                profile.request,
-                states.RefusalReason.NO_UPSTREAM,
-                RETRY_AFTER_MS,
-            )
-        chosen = self.plain.choose(candidates)
-        self.plain_placed[profile.request] = chosen.upstream
-        crosses = chosen.region != self.region
-        return messages.Dispatch(profile.request, chosen, crosses)
-
-    def _plain_candidates(
-        self,
-        profile: messages.RequestProfile,
-        failed: ids.UpstreamId | None,
-        now_ms: float,
-    ) -> list[kernel_events.UpstreamInfo]:
-        live = {
-            info.upstream: info
-            for info in self.plain_upstreams.values()
-            if info.service == profile.service
-            and info.state is states.UpstreamState.LIVE
-            and info.upstream not in self.withheld
-            and info.upstream != failed
-        }
-        usable = self.book.usable(list(live), now_ms)
-        near = [n for n in usable if live[n].region == self.region]
-        return [live[name] for name in near or usable]
-
-    def _release_plain(self, request: ids.RequestId) -> ids.UpstreamId | None:
-        upstream = self.plain_placed.pop(request, None)
-        if upstream is not None:
-            self.plain.release(upstream)
-        return upstream
-
-    def _engine_status(self, view, now_ms: float) -> UpstreamStatus:
-        known = self.book.upstreams.get(view.info.upstream)
-        return UpstreamStatus(
-            view.info.upstream,
-            view.info.service,
-            len(view.own),
-            view.limit.limit,
-            known.interval_ms if known else 0.0,
-            not self.book.is_ejected(view.info.upstream, now_ms),
-        )
-
-    def _plain_status(
-        self, info: kernel_events.UpstreamInfo, now_ms: float
-    ) -> UpstreamStatus:
-        return UpstreamStatus(
-            info.upstream,
-            info.service,
-            self.plain.running[info.upstream],
-            None,
-            0.0,
-            not self.book.is_ejected(info.upstream, now_ms),
-        )
--- a/eelgrassknot/policy/engine_pool.py
+++ b/eelgrassknot/policy/engine_pool.py
@@ -1,6 +1,5 @@
 """Decisions on the engines of one service."""
 
-import math
 import random
 
 from eelgrassknot import ids
@@ -15,6 +14,7 @@
 from eelgrassknot.policy import objective
 from eelgrassknot.policy import placement
 from eelgrassknot.policy import prefix
+from eelgrassknot.policy import reach
 from eelgrassknot.policy import region_budget
 from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
@@ -25,7 +25,6 @@
 BATCH_PATIENCE_MS = 300_000.0
 DEFAULT_RETRY_AFTER_MS = 1_000.0
 REFRESH_INTERVAL_MS = 250.0
-USABLE_KEPT_MS = 50.0
 FEEDBACK_INTERVAL_MS = 1_000.0
 
 
@@ -61,6 +60,7 @@
         self.link = link
         self.options = options
         self.views: dict[ids.UpstreamId, engine_view.EngineView] = {}
+        self.reach = reach.Reach(self.views, region, book, options.ejection)
         self.held_at: dict[ids.RequestId, engine_view.EngineView] = {}
         self.queue = admission.EntryQueue(counters, options.fairness)
         self.predictor = length.LengthPredictor()
@@ -70,10 +70,7 @@
         )
         self.knobs = objective.knobs(services_text.Objective())
         self.max_tokens = services_text.DEFAULT_MAX_TOKENS
-        self.withheld: frozenset = frozenset()
         self.refreshed_ms = 0.0
-        self.known_usable: dict[bool, list[engine_view.EngineView]] = {}
-        self.usable_until_ms = 0.0
         self.fed_back_ms = 0.0
 
     def configure(
@@ -82,19 +79,15 @@
         """Take in the service as another services text has it."""
         self.knobs = objective.knobs(service.objective)
         self.max_tokens = service.max_tokens
-        self.withheld = withheld
-        self.forget_usable()
-
-    def forget_usable(self) -> None:
-        """Find out anew which engines may be used."""
-        self.usable_until_ms = -math.inf
+        self.reach.withheld = withheld
+        self.reach.forget()
 
     def know(
         self, infos: list[kernel_events.UpstreamInfo], now_ms: float
     ) -> None:
         """Take in the whole set of the service's engines."""
         fresh = bool(self.views)
-        self.forget_usable()
+        self.reach.forget()
         named = {info.upstream for info in infos}
         for info in infos:
             view = self.views.get(info.upstream)
@@ -115,7 +108,9 @@
         self, profile: messages.RequestProfile, now_ms: float
     ) -> list[messages.Action]:
         """Queue a request, or refuse it if it would wait too long."""
-        if not self._usable(True, now_ms) and not self._usable(False, now_ms):
+        if not self.reach.usable(True, now_ms) and not self.reach.usable(
+            False, now_ms
+        ):
             return [
                 messages.Refuse(
                     profile.request,
@@ -150,7 +145,7 @@
         """Place a request elsewhere, or queue it again."""
         self.end(profile.request, False, now_ms)
         for near in (True, False):
-            views = self._usable(near, now_ms)
+            views = self.reach.usable(near, now_ms)
             others = [view for view in views if view.info.upstream != failed]
             action = self._place(profile, others, now_ms)
             if action is not None:
@@ -249,7 +244,7 @@
     def _start(
         self, queued: admission.QueuedRequest, now_ms: float
     ) -> messages.Dispatch | None:
-        near = self._usable(True, now_ms)
+        near = self.reach.usable(True, now_ms)
         action = self._place(queued.profile, near, now_ms)
         if action is not None:
             return action
@@ -343,7 +338,7 @@
         has_near: bool,
         now_ms: float,
     ) -> messages.Dispatch | None:
-        far = self._usable(False, now_ms)
+        far = self.reach.usable(False, now_ms)
         if not far:
             return None
         profile = queued.profile
@@ -366,35 +361,10 @@
             self.link.spend(size, now_ms)
         return action
 
-    def _usable(
-        self, near: bool, now_ms: float
-    ) -> list[engine_view.EngineView]:
-        if now_ms >= self.usable_until_ms:
-            self.usable_until_ms = now_ms + USABLE_KEPT_MS
-            self.known_usable = {
-                True: self._find_usable(True, now_ms),
-                False: self._find_usable(False, now_ms),
-            }
-        return self.known_usable[near]
-
-    def _find_usable(
-        self, near: bool, now_ms: float
-    ) -> list[engine_view.EngineView]:
-        names = [
-            view.info.upstream
-            for view in self.views.values()
-            if view.info.state is states.UpstreamState.LIVE
-            and (view.info.region == self.region) is near
-            and view.info.upstream not in self.withheld
-        ]
-        if self.options.ejection:
-            names = self.book.usable(names, now_ms)
-        return [self.views[name] for name in names]
-
     def _feed_back(self, now_ms: float) -> None:
         if self.options.ejection:
             self.book.eject_slow(list(self.views), now_ms)
-            self.forget_usable()
+            self.reach.forget()
         for view in self.views.values():
             running = self.placement.running(view, now_ms)
             known = self.book.upstreams.get(view.info.upstream)
