--- a/eelgrassknot/frontend/generations.py
+++ b/eelgrassknot/frontend/generations.py
@@ -15,6 +15,7 @@
 from eelgrassknot.policy import messages as policy
 from eelgrassknot.requests import generation as generation_machine
 from eelgrassknot.requests import generation_key
+from eelgrassknot.requests import generation_messages as messages
 from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
@@ -70,17 +71,19 @@
     # Who attaches to a generation sees the id of the request that
     # began it.
     machine.checks_request = generation is None
+    profile = _profile(context, request)
+    prompt_tokens = profile.prompt_tokens
     relay = relays.Relay(
         context,
         context.relays,
         machine,
-        _profile(context, request),
+        profile,
         service.service,
         relays.start_body(request, model),
         generation,
     )
     encoder = openai.AnswerEncoder(context.request, request.model, chat)
-    steps = relay.run(relay.place())
+    steps = relay.run(_begin(context, relay, generation))
     if request.stream:
         return streaming.stream(
             context,
@@ -89,8 +92,23 @@
             relay,
             lambda: resuming.sign(context, relay, chat),
         )
-    return streaming.whole(
-        context, steps, encoder, relay.profile.prompt_tokens
+    return streaming.whole(context, steps, encoder, prompt_tokens)
+
+
+def _begin(
+    context: contexts.CallContext,
+    relay: relays.Relay,
+    generation: ids.GenerationId | None,
+) -> list[messages.Action]:
+    if generation is None:
+        return relay.place()
+    upstream = context.relays.find_keyed(generation, relay.service)
+    if upstream is None:
+        return relay.place()
+    # A repeat: reads the generation that the first request began.
+    relay.profile = None
+    return relay.machine.resume(
+        upstream, generation, 0, context.node.clock.now_ms()
     )
 
 
--- a/eelgrassknot/frontend/relay_part.py
+++ b/eelgrassknot/frontend/relay_part.py
@@ -6,6 +6,7 @@
 
 import result
 
+from eelgrassknot import clock as clocks
 from eelgrassknot.frontend import dispatching
 from eelgrassknot.frontend import lane as lanes
 from eelgrassknot import ids
@@ -20,7 +21,9 @@
 from eelgrassknot.requests import generation_messages as messages
 from eelgrassknot.requests import peers
 from eelgrassknot.requests import readers
+from eelgrassknot import states
 from eelgrassknot.upstreams import engine_client
+from eelgrassknot.upstreams import messages as upstream_messages
 
 if typing.TYPE_CHECKING:
     from eelgrassknot.frontend import relay
@@ -32,6 +35,8 @@
 CANCEL_POLL_MS = 50.0
 IDLE_POLL_MS = 5_000.0
 DRAIN_CANCELS_MS = 8_000.0
+MAX_ENGINES_ASKED = 16
+KEYED_PATIENCE_MS = 300.0
 
 
 @parts.part('relays', after=('dispatch', 'membership'))
@@ -166,6 +171,36 @@
         """Return the engine that a cursor names, if it is listed."""
         return self.upstreams.get(origin.upstream)
 
+    def find_keyed(
+        self, generation: ids.GenerationId, service: ids.ServiceName
+    ) -> kernel_events.UpstreamInfo | None:
+        """Return the engine that runs, or ran, a keyed generation.
+
+        Args:
+            generation: Identifier derived from the caller's key.
+            service: Service whose engines are asked.
+        """
+        engines = [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service
+        ][:MAX_ENGINES_ASKED]
+        asked = {
+            self.questions.submit(
+                engine_client.status, engine.address, generation
+            ): engine
+            for engine in engines
+        }
+        done, _ = concurrent.futures.wait(
+            asked, KEYED_PATIENCE_MS / clocks.MS_PER_SECOND
+        )
+        for future in done:
+            match future.result():
+                case result.Ok(upstream_messages.EngineStatus(state=state)):
+                    if state is not states.GenerationState.CANCELLED:
+                        return asked[future]
+        return None
+
     def _upstreams(self, event: kernel_events.UpstreamsChanged) -> None:
         known = {u.upstream: u for u in event.upstreams}
         with self.lock:
