--- /dev/null
+++ b/tests/steps/frontend_lane.py
@@ -0,0 +1,185 @@
+"""Steps on the thread that carries streams."""
+
+import dataclasses
+import socket
+import threading
+
+import behave
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.frontend import lane as lanes
+from eelgrassknot import ids
+from eelgrassknot.requests import generation as generations
+from eelgrassknot.requests import generation_messages as messages
+from eelgrassknot import states
+from eelgrassknot.upstreams import messages as upstream_messages
+from tests import generation_world
+
+_WAIT_S = 20.0
+_LONG_TEXT = 'x' * 4_000_000
+
+
+class _Stream:
+    """An engine's connection whose events the test decides."""
+
+    def __init__(self):
+        self.engine, self.socket = socket.socketpair()
+        self.events = []
+
+    def send(self, events):
+        self.events += events
+        self.engine.send(b'.')
+
+    def receive(self):
+        self.socket.recv(1)
+        events = self.events
+        self.events = []
+        return events
+
+
+class _Caller:
+    """A caller's connection."""
+
+    def __init__(self):
+        self.socket, self.other = socket.socketpair()
+        self.socket.settimeout(10)
+        self.other.settimeout(_WAIT_S)
+
+    def frame(self, data):
+        return data
+
+
+@dataclasses.dataclass
+class _Relay:
+    machine: generations.Generation
+    stream: _Stream
+    connection: int = 1
+    superseded: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+
+    def report(self, count, now_ms):
+        """Take note of nothing."""
+
+
+def _token(index, text=None, last=False):
+    reason = states.FinishReason.STOP if last else None
+    return upstream_messages.Token(
+        'g1', 'r1', index, text or f'{index} ', reason
+    )
+
+
+def _encode(token):
+    return token.text.encode()
+
+
+def _ride(context):
+    machine = generations.Generation(ids.RequestId('r1'), True, None, 0.0)
+    placed = messages.Placed(
+        generation_world.upstream('e1'), ids.GenerationId('g1'), False
+    )
+    machine.handle(placed, 0.0)
+    machine.handle(messages.StreamAccepted(1), 0.0)
+    relay = _Relay(machine, _Stream())
+    ride = lanes.Ride(relay, _encode, _Caller(), relay.stream.socket.fileno())
+    thread = threading.Thread(
+        target=context.lane.carry, args=(ride,), daemon=True
+    )
+    thread.start()
+    return ride
+
+
+@behave.given('a lane with {count:d} streams')
+def given_lane(context, count):
+    context.time = clocks.ManualClock()
+    context.lane = lanes.Lane(context.time)
+    context.lane.start()
+    context.add_cleanup(context.lane.stop)
+    context.rides = [_ride(context) for _ in range(count)]
+
+
+def _send(context, number, events):
+    context.rides[number].relay.stream.send(events)
+
+
+@behave.when(
+    'the engine of stream {number:d} sends the tokens 0 to {last:d} and ends'
+)
+def sends_all(context, number, last):
+    tokens = [_token(index) for index in range(last + 1)]
+    _send(context, number, [*tokens, upstream_messages.StreamDone()])
+
+
+@behave.when(
+    'the engine of stream {number:d} sends the tokens 0 to {last:d} '
+    'and then {index:d}'
+)
+def sends_gap(context, number, last, index):
+    tokens = [_token(i) for i in range(last + 1)]
+    _send(context, number, [*tokens, _token(index)])
+
+
+@behave.when('the caller of stream {number:d} reads nothing of a long text')
+def reads_nothing(context, number):
+    _send(context, number, [_token(0, _LONG_TEXT)])
+
+
+@behave.when('the caller of stream {number:d} is gone and a token comes')
+def caller_gone(context, number):
+    context.rides[number].caller.other.close()
+    _send(context, number, [_token(0)])
+
+
+@behave.when('nothing comes for longer than the silence limit')
+def nothing_comes(context):
+    machine = context.rides[0].relay.machine
+    context.time.advance_ms(machine.wake_ms() + 1)
+
+
+@behave.then('the caller of stream {number:d} gets the tokens 0 to {last:d}')
+def caller_gets(context, number, last):
+    wanted = b''.join(b'%d ' % index for index in range(last + 1))
+    caller = context.rides[number].caller
+    got = caller.other.recv(65_536)
+    assert got == wanted, got
+
+
+def _back(context, number):
+    ride = context.rides[number]
+    assert ride.ended.wait(_WAIT_S), 'the stream is still carried'
+    return ride
+
+
+@behave.then('stream {number:d} is handed back with {count:d} event')
+def back_with_events(context, number, count):
+    assert len(_back(context, number).events) == count
+
+
+@behave.then('stream {number:d} is still carried')
+def still_carried(context, number):
+    assert not context.rides[number].ended.is_set()
+
+
+@behave.then('stream {number:d} is handed back to be resumed from {index:d}')
+def back_to_resume(context, number, index):
+    closed, resumed = _back(context, number).actions
+    assert closed == messages.CloseStream(1)
+    assert resumed.index == index
+
+
+@behave.then('stream {number:d} is handed back with bytes that were not sent')
+def back_unsent(context, number):
+    ride = _back(context, number)
+    assert 0 < len(ride.unsent) < len(_LONG_TEXT)
+    assert not ride.broken
+
+
+@behave.then('stream {number:d} is handed back as broken')
+def back_broken(context, number):
+    assert _back(context, number).broken
+
+
+@behave.then('stream {number:d} is handed back with nothing')
+def back_with_nothing(context, number):
+    ride = _back(context, number)
+    assert not (ride.events or ride.actions or ride.unsent or ride.broken)
