--- /dev/null
+++ b/benchmarks/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Many random histories of generations and keyed calls."""
--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -96,6 +96,8 @@
         http = wrappers.Request(environ)
         http.max_content_length = MAX_BODY_BYTES
         request = _request_id(http)
+        if self.node.state is states.DaemonState.DRAINING:
+            self.server.announce_drain()
         try:
             answer = self._route(http, request)
         except http_errors.HTTPException as error:
--- a/tests/requests/claim.feature
+++ b/tests/requests/claim.feature
@@ -33,3 +33,7 @@
   Scenario: a holder that was paused past the deadline does not dispatch
     Given a keyed call whose VM is paused until after its deadline
     Then it is not dispatched and ends as not_run
+
+  Scenario: claims are removed once they have outlived their retention
+    Given claims that are 1, 71 and 73 hours old
+    Then with a retention of 72 hours only the claim of 73 hours is expired
--- a/tests/steps/requests_claim.py
+++ b/tests/steps/requests_claim.py
@@ -3,9 +3,12 @@
 import behave
 import hypothesis
 from hypothesis import stateful
+import msgspec
 
 from eelgrassknot import ids
+from eelgrassknot.platforms import base
 from eelgrassknot.requests import claim as claims
+from eelgrassknot.requests import claim_expiry
 from eelgrassknot.requests import claim_ledger
 from eelgrassknot.requests import claim_messages as messages
 from eelgrassknot.requests import peers
@@ -192,3 +195,25 @@
     stored, end = context.actions
     assert stored.state is messages.ClaimState.NOT_RUN
     assert end.outcome is states.Outcome.NOT_RUN
+
+
+@behave.given('claims that are 1, 71 and 73 hours old')
+def given_old_claims(context):
+    context.now_ms = 100 * claim_expiry.MS_PER_HOUR
+    context.rows = []
+    for hours in (1, 71, 73):
+        written_ms = context.now_ms - hours * claim_expiry.MS_PER_HOUR
+        claim = msgspec.structs.replace(_row('n0'), written_at_ms=written_ms)
+        value = msgspec.to_builtins(claim)
+        context.rows.append(base.Row(str(hours), value, 1))
+
+
+@behave.then(
+    'with a retention of {hours:d} hours only the claim of {old} hours '
+    'is expired'
+)
+def only_expired(context, hours, old):
+    expired = claim_expiry.expired_claims(
+        context.rows, context.now_ms, float(hours)
+    )
+    assert [row.key for row, _ in expired] == [old], expired
