--- a/eelgrassknot/coordination/vm_list_part.py
+++ b/eelgrassknot/coordination/vm_list_part.py
@@ -22,7 +22,7 @@
 # The list is long where there are many VMs: each VM then reads it more
 # seldom and tells its zone what has changed.
 LIST_ENTRY_BYTES = 150
-LIST_BYTES_PER_S = 3_000.0
+LIST_BYTES_PER_S = 2_000.0
 
 
 @dataclasses.dataclass(frozen=True)
