--- a/eelgrassknot/coordination/membership_part.py
+++ b/eelgrassknot/coordination/membership_part.py
@@ -71,6 +71,8 @@
             settings.vm, settings.availability_zone
         )
         self.lock = threading.Lock()
+        # Changes are acted on one at a time, in the order of the states.
+        self.change_lock = threading.Lock()
         self.links = links.Links({}, {})
         self.seen: dict[ids.VmId, memberships.PeerState] = {}
         self.announced: EntryVmsChanged | None = None
@@ -200,7 +202,8 @@
         with self.lock:
             changed = self.membership.handle(event, now_ms)
         if changed or isinstance(event, membership_messages.ListRead):
-            self._changed()
+            with self.change_lock:
+                self._changed()
 
     def _changed(self) -> None:
         with self.lock:
