VMs are ready once they know the VM list, from the platform or a peer

A VM that started while the platform was down had no upstreams and said ready. It now asks a peer for the list, and says not ready until it has one. SIGUSR1 writes the stacks of all threads.

--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -175,7 +175,7 @@
             return sum(self._push(name, kind, data) for name in names)
 
     def ask(
-        self, name: str, query: messages.ConfigFetch | messages.OwnerQuery
+        self, name: str, query: messages.Query
     ) -> concurrent.futures.Future:
         """Ask a peer; the future is given its reply if one comes."""
         future: concurrent.futures.Future = concurrent.futures.Future()
@@ -194,7 +194,7 @@
     def request(
         self,
         name: str,
-        query: messages.ConfigFetch | messages.OwnerQuery,
+        query: messages.Query,
         timeout_ms: float,
     ) -> result.Result[object, exceptions.UpstreamError]:
         """Ask a peer and wait for its reply.
--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -20,11 +20,13 @@
     'HeldEntry',
     'Introduction',
     'ListChange',
+    'ListFetch',
     'LoadEntry',
     'Message',
     'OwnerQuery',
     'OwnerReply',
     'ReaderTaken',
+    'Query',
     'Reply',
     'Request',
     'ZoneLoad',
@@ -139,6 +141,10 @@
     answer: bool
 
 
+class ListFetch(msgspec.Struct, array_like=True, tag=11, frozen=True):
+    """Asks for the whole list of VMs; answered by a ``ListChange``."""
+
+
 class ConfigFetch(msgspec.Struct, array_like=True, tag=3, frozen=True):
     """Asks for the services text that is in force at the receiver."""
 
@@ -175,18 +181,14 @@
     by: ids.VmId
 
 
-class Request(msgspec.Struct, array_like=True, tag=8, frozen=True):
-    """A question that wants a reply."""
-
-    request: int
-    query: ConfigFetch | OwnerQuery
+Query = ConfigFetch | OwnerQuery | ListFetch
 
 
-class Reply(msgspec.Struct, array_like=True, tag=9, frozen=True):
-    """The reply to a question."""
+class Request(msgspec.Struct, array_like=True, tag=8, frozen=True):
+    """A question that wants a reply."""
 
     request: int
-    answer: ConfigReply | OwnerReply
+    query: Query
 
 
 class ListChange(msgspec.Struct, array_like=True, tag=10, frozen=True):
@@ -201,6 +203,13 @@
     removed: tuple[ids.VmId, ...]
 
 
+class Reply(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """The reply to a question."""
+
+    request: int
+    answer: ConfigReply | OwnerReply | ListChange
+
+
 Message = Heartbeat | Introduction | ReaderTaken | Request | Reply | ListChange
 
 
--- a/eelgrassknot/coordination/vm_list_part.py
+++ b/eelgrassknot/coordination/vm_list_part.py
@@ -9,6 +9,7 @@
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.coordination import ticker
 from eelgrassknot.coordination import vm_list
+from eelgrassknot import ids
 from eelgrassknot.kernel import events
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
@@ -23,6 +24,10 @@
 # seldom and tells its zone what has changed.
 LIST_ENTRY_BYTES = 150
 LIST_BYTES_PER_S = 2_000.0
+PEER_TIMEOUT_MS = 1_000.0
+# An entry that was never seen live may be that of the VM which had this
+# name before; the platform's list does not lag for longer than this.
+STALE_ENTRY_MS = 30_000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,14 +42,15 @@
     """Publishes the list, and tells peers what has changed in it.
 
     Attributes:
-        entries: The list as it is known; empty before the first read.
+        entries: The list as it is known, or None before the first read.
     """
 
     def __init__(self, node: kernel_node.Node) -> None:
         self.node = node
-        self.entries: vm_list.Listed = {}
+        self.entries: vm_list.Listed | None = None
         self.next_read_ms = float('-inf')
         self.seen_live = False
+        self.leaving_since_ms: float | None = None
         self.executor = concurrent.futures.ThreadPoolExecutor(1, 'vm-list')
         self.ticker = ticker.Ticker('vm-list', TICK_MS, self._tick)
 
@@ -53,6 +59,7 @@
         self.link = self.node.part_set.parts['peers'].link
         self.membership = self.node.part_set.parts['membership']
         self.link.on_message(messages.ListChange, self._told)
+        self.link.on_query(messages.ListFetch, self._answer_fetch)
         self._tick()
         self.ticker.start()
 
@@ -61,6 +68,12 @@
         self.ticker.stop()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
+    def not_ready_reasons(self) -> list[str]:
+        """Say so while no upstream can be known."""
+        if self.entries is None:
+            return ['neither the platform nor a peer has told the VM list']
+        return []
+
     def _tick(self) -> None:
         now_ms = self.node.clock.now_ms()
         if now_ms >= self.next_read_ms:
@@ -69,7 +82,8 @@
 
     def _interval_ms(self) -> float:
         entry_ms = LIST_ENTRY_BYTES / LIST_BYTES_PER_S * clocks.MS_PER_SECOND
-        interval_ms = max(LIST_POLL_MS, len(self.entries) * entry_ms)
+        count = len(self.entries or ())
+        interval_ms = max(LIST_POLL_MS, count * entry_ms)
         # Spread the reads of VMs that were started together.
         return interval_ms * self.node.generator.uniform(0.8, 1.0)
 
@@ -77,14 +91,31 @@
         match self.node.platform.vms.list_vms():
             case result.Ok(entries):
                 listed = {entry.vm: entry for entry in entries}
-                change = vm_list.difference(self.entries, listed)
-                if self.entries and change is not None:
+                change = vm_list.difference(self.entries or {}, listed)
+                if self.entries is not None and change is not None:
                     self.link.broadcast(self.membership.links.zone, change)
                 self._publish(listed)
+            case result.Err(_) if self.entries is None:
+                self._fetch_from_peer()
+
+    def _fetch_from_peer(self) -> None:
+        names = sorted(self.membership.links.zone)
+        if not names:
+            return
+        name = self.node.generator.choice(names)
+        answer = self.link.request(name, messages.ListFetch(), PEER_TIMEOUT_MS)
+        match answer:
+            case result.Ok(messages.ListChange() as whole) if whole.entries:
+                self._publish(vm_list.apply({}, whole))
+
+    def _answer_fetch(
+        self, vm: ids.VmId, query: messages.ListFetch
+    ) -> messages.ListChange:
+        return messages.ListChange(tuple((self.entries or {}).values()), ())
 
     def _told(self, envelope: messages.Envelope) -> None:
         # Before this VM has read the list itself, a change tells little.
-        if self.entries:
+        if self.entries is not None:
             self._publish(vm_list.apply(self.entries, envelope.message))
 
     def _publish(self, listed: vm_list.Listed) -> None:
@@ -94,12 +125,13 @@
 
     def _look_for_leave(self, listed: vm_list.Listed) -> None:
         own = listed.get(self.node.settings.vm)
-        if own is None:
+        if own is None or own.state is states.UpstreamState.LIVE:
+            self.seen_live = self.seen_live or own is not None
+            self.leaving_since_ms = None
             return
-        if own.state is states.UpstreamState.LIVE:
-            self.seen_live = True
-        elif self.seen_live:
-            # An entry that was never live may be that of the VM which
-            # had this name before.
-            self.seen_live = False
+        now_ms = self.node.clock.now_ms()
+        if self.leaving_since_ms is None:
+            self.leaving_since_ms = now_ms
+        leaving_ms = now_ms - self.leaving_since_ms
+        if self.seen_live or leaving_ms > STALE_ENTRY_MS:
             self.node.hub.publish(events.LeaveTold())
--- a/eelgrassknot/daemon.py
+++ b/eelgrassknot/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: every entry VM runs one."""
 
 import concurrent.futures
+import faulthandler
 import random
 import signal
 import sys
@@ -105,6 +106,8 @@
         raise typer.Exit(1) from error
     logs.configure(loaded.log_level)
     leave = threading.Event()
+    # An operator can see where a daemon hangs: kill -USR1.
+    faulthandler.register(signal.SIGUSR1, all_threads=True)
     signal.signal(signal.SIGTERM, lambda *_: leave.set())
     signal.signal(signal.SIGINT, lambda *_: leave.set())
     serve(create_node(loaded), leave)
