Stand-ins start few threads and more on demand

Each of about a dozen stand-ins started 400 threads; a round beside other tests met the machine's limit on threads and daemons could not start. Pools begin with 12 threads and grow while none is idle.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -26,7 +26,9 @@
     'serve',
 ]
 
+FIRST_THREADS = 12
 MAX_THREADS = 400
+GROW_POLL_S = 0.05
 SHUTDOWN_TIMEOUT_S = 1
 CONNECTION_KEY = 'standin.connection'
 
@@ -148,7 +150,7 @@
     server = wsgi.Server(
         (host, int(port)),
         application,
-        numthreads=MAX_THREADS,
+        numthreads=FIRST_THREADS,
         max=MAX_THREADS,
         request_queue_size=512,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
@@ -163,7 +165,10 @@
     signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     signal.signal(signal.SIGINT, lambda *_: stopped.set())
     threading.Thread(target=server.serve, daemon=True).start()
-    stopped.wait()
+    while not stopped.wait(GROW_POLL_S):
+        # Open streams hold a thread each; many processes share a machine.
+        if server.requests.idle == 0:
+            server.requests.grow(FIRST_THREADS)
     server.ready = False
     # Threads that are held by a fault would keep the process alive.
     os._exit(0)
