--- a/tests/steps/reporting_daemon.py
+++ b/tests/steps/reporting_daemon.py
@@ -128,6 +128,12 @@
     context.shown = [
         operators(context, path) for path in ('/metrics', '/status', '/report')
     ]
+    metrics, _, report = context.shown
+    for service in ('shop-assistant', 'desk-app'):
+        labels = f'{{outcome="done",service="{service}"}}'
+        assert f'eelgrassknot_requests_total{labels}' in metrics, metrics
+    served = {row['service'] for row in json.loads(report)['operations']}
+    assert served == {'shop-assistant', 'desk-app'}, served
     context.status = run(context, 'status', '--json')
     context.daemon.signal(signal.SIGTERM)
     assert context.daemon.process.wait(deployment.LIMIT_S) == 0
