--- a/eelgrassknot/policy/placement.py
+++ b/eelgrassknot/policy/placement.py
@@ -26,7 +26,7 @@
 
 __all__ = ['Placement', 'PlacementOptions']
 
-SAMPLED = 5
+SAMPLED = 4
 KNOWN_TOTAL_TOKENS = 16_384
 USABLE_MEMORY = 0.95
 PREFILL_SCALE_TOKENS = 1_024
@@ -140,16 +140,22 @@
         best = None
         best_cost = math.inf
         home = self._home(views, profile.prefixes)
+        prompt = profile.prompt_tokens
         for view in self._sample(views, home):
-            allowance = book.allowance(view.info.upstream, now_ms)
             others = view.others(self.typical, now_ms)
             running = len(view.own) + others.running
-            if running and self._is_closed(view, running, allowance):
+            total = _total_tokens(view)
+            present = view.own_forecast.means[0] + others.forecast.means[0]
+            # The peak is never below what is present, which is cheap to
+            # know; the forecast is made only where it can matter.
+            if running and present + prompt > total * USABLE_MEMORY:
                 continue
             cost = self._cost(profile, view, knobs, affinity)
-            if cost >= best_cost:
+            if cost + present / total >= best_cost:
+                continue
+            allowance = book.allowance(view.info.upstream, now_ms)
+            if running and self._is_closed(view, running, allowance):
                 continue
-            total = _total_tokens(view)
             peak = self._peak(footprint, view, others, knobs)
             if running and peak > total * USABLE_MEMORY:
                 continue
