Early refusal: estimate the wait in the order of the counters

Cause: in a flood small accounts' requests were refused early though they would have gone next: the wait was estimated by the account's share of the rate, not by who goes before it. Change: the estimate counts who goes first by the counters; a feature holds that an account served less waits below a second behind a flood.

--- a/eelgrassknot/policy/admission.py
+++ b/eelgrassknot/policy/admission.py
@@ -22,6 +22,8 @@
 BATCH_AGEING_MS = 20_000.0
 RATE_SMOOTHING_MS = 5_000.0
 MIN_RATE_PER_S = 0.05
+CHARGE_SMOOTHING = 0.02
+FIRST_CHARGE_TOKENS = 400.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
         self.size = 0
         self.rate_per_s = 0.0
         self.rate_known = False
+        self.mean_charge = FIRST_CHARGE_TOKENS
         self.left = 0
         self.rate_from_ms: float | None = None
 
@@ -126,19 +129,46 @@
         if not self.rate_known or not self.size:
             return 0.0
         account = profile.client_account
-        weights = self.counters.weight
-        accounts = dict.fromkeys([*self.accounts(), account])
-        total = sum(weights(name) for name in accounts)
-        share = weights(account) / total
-        ahead = 0
-        for (priority, other), lane in self.lanes.items():
-            urgent = priority is states.Priority.INTERACTIVE
-            if other == account and (urgent or priority is profile.priority):
-                ahead += len(lane)
+        waiting = self._waiting(profile.priority)
+        own = waiting.pop(account, 0) + 1
+        # The account's counter when this request goes; others go first
+        # as far as their counters are below it.
+        level = self._level(account, own, waiting)
+        ahead = own - 1.0
+        for other, count in waiting.items():
+            counter = self.counters.counters.get(other, 0.0)
+            behind = (level - counter) * self.counters.weight(other)
+            ahead += min(count, max(0.0, behind / self.mean_charge))
         rate = max(self.rate_per_s, MIN_RATE_PER_S)
-        fair_ms = ahead / (rate * share) * clock.MS_PER_SECOND
-        whole_ms = self.size / rate * clock.MS_PER_SECOND
-        return min(fair_ms, whole_ms)
+        return ahead / rate * clock.MS_PER_SECOND
+
+    def charged(self, tokens: float) -> None:
+        """Take in what a request was charged when it left."""
+        part = CHARGE_SMOOTHING
+        self.mean_charge += part * (tokens - self.mean_charge)
+
+    def _waiting(
+        self, priority: states.Priority
+    ) -> dict[ids.ClientAccountId, int]:
+        found: collections.Counter = collections.Counter()
+        for (other_priority, account), lane in self.lanes.items():
+            urgent = other_priority is states.Priority.INTERACTIVE
+            if urgent or other_priority is priority:
+                found[account] += len(lane)
+        return found
+
+    def _level(
+        self,
+        account: ids.ClientAccountId,
+        own: int,
+        others: dict[ids.ClientAccountId, int],
+    ) -> float:
+        counters = self.counters.counters
+        level = counters.get(account, 0.0)
+        if own == 1 and others:
+            level = max(level, min(counters.get(o, 0.0) for o in others))
+        before = (own - 1) * self.mean_charge
+        return level + before / self.counters.weight(account)
 
     def measure(self, now_ms: float) -> None:
         """Bring the rate at which requests leave up to date."""
--- a/eelgrassknot/policy/engine_pool.py
+++ b/eelgrassknot/policy/engine_pool.py
@@ -328,9 +328,9 @@
         held.length_class.started(now_ms)
         self.affinity.stored(view.info.upstream, profile.prefixes)
         prompt_cost = profile.prompt_tokens * fairness.PROMPT_TOKEN_COST
-        self.counters.charge(
-            profile.client_account, held.upfront + prompt_cost
-        )
+        charge = held.upfront + prompt_cost
+        self.counters.charge(profile.client_account, charge)
+        self.queue.charged(charge)
 
     def _spill(
         self,
--- a/tests/policy/small_parts.feature
+++ b/tests/policy/small_parts.feature
@@ -19,6 +19,11 @@
     When another account queues a request
     Then the first account loses its newest request
 
+  Scenario: a small account is not refused for a flood that goes after it
+    Given a queue that one account has filled while one leaves each second
+    Then the flooding account would wait more than 200 s
+    And an account of the same weight that was served less waits below 1 s
+
   Scenario: cache events correct what was believed of prefixes
     Given an engine that was sent a prompt with 4 prefixes
     Then 256 of its tokens are covered
--- a/tests/steps/policy_small_parts.py
+++ b/tests/steps/policy_small_parts.py
@@ -206,3 +206,30 @@
 @behave.then('the limit is between {low:d} and {high:d}')
 def limit_between(context, low, high):
     assert low <= context.limit.limit <= high, context.limit.limit
+
+
+@behave.given(
+    'a queue that one account has filled while one leaves each second'
+)
+def given_flooded(context):
+    given_full(context)
+    context.queue.measure(0.0)
+    for second in range(1, 4):
+        context.queue.pop(context.queue.head(0.0))
+        context.queue.counters.charge('flood', 400.0)
+        context.queue.measure(second * 1_000.0)
+
+
+@behave.then('the flooding account would wait more than {bound_s:d} s')
+def flood_waits(context, bound_s):
+    profile = queued('next', 'flood').profile
+    assert context.queue.expected_wait_ms(profile) > bound_s * 1_000
+
+
+@behave.then(
+    'an account of the same weight that was served less waits below'
+    ' {bound_s:d} s'
+)
+def small_waits(context, bound_s):
+    profile = queued('next', 'small').profile
+    assert context.queue.expected_wait_ms(profile) < bound_s * 1_000
