--- a/eelgrassknot/frontend/plain_calls.py
+++ b/eelgrassknot/frontend/plain_calls.py
@@ -144,7 +144,8 @@
             return claim_messages.EndClaim(
                 states.Outcome.UNKNOWN, 'answer_unreadable'
             )
-        return claim_messages.EndClaim(end.outcome, end.reason, answer)
+        outcome = plain_call.outcome_of(answer)
+        return claim_messages.EndClaim(outcome, end.reason, answer)
 
     def _request_hash(self) -> str:
         digest = hashlib.blake2b(digest_size=16)
--- a/eelgrassknot/requests/plain_call.py
+++ b/eelgrassknot/requests/plain_call.py
@@ -9,7 +9,7 @@
 from eelgrassknot.requests import plain_messages as messages
 from eelgrassknot import states
 
-__all__ = ['PlainCall']
+__all__ = ['PlainCall', 'outcome_of']
 
 NEVER_MS = float('inf')
 MAX_ATTEMPTS = 4
@@ -132,12 +132,9 @@
         return [self._pass_on(answer)]
 
     def _pass_on(self, answer: messages.Answer) -> messages.EndCall:
-        outcome = states.Outcome.DONE
-        if answer.status >= SERVER_ERROR_STATUS:
-            outcome = states.Outcome.FAILED
-        return self._end(
-            messages.EndCall(outcome, f'status_{answer.status}', answer)
-        )
+        reason = f'status_{answer.status}'
+        end = messages.EndCall(outcome_of(answer), reason, answer)
+        return self._end(end)
 
     def _failed(
         self, bytes_left: bool, now_ms: float
@@ -194,3 +191,13 @@
         self.stage = _Stage.ENDED
         self.outcome = outcome
         return outcome
+
+
+def outcome_of(answer: messages.Answer) -> states.Outcome:
+    """Return the outcome that an upstream's answer stands for.
+
+    A stored answer that a repeat is given has the same one.
+    """
+    if answer.status >= SERVER_ERROR_STATUS:
+        return states.Outcome.FAILED
+    return states.Outcome.DONE
--- a/tests/requests/plain_call.feature
+++ b/tests/requests/plain_call.feature
@@ -42,3 +42,7 @@
 
   Scenario: delays are decorrelated and bounded
     Then 1000 delays lie between 20 and 1000 ms and differ by seed
+
+  Scenario: a stored answer has the outcome that it had for the first caller
+    Then an answer with the status 500 stands for failed
+    And an answer with the status 404 stands for done
--- a/tests/steps/requests_plain_call.py
+++ b/tests/steps/requests_plain_call.py
@@ -99,3 +99,9 @@
         runs.append([jitter.next_ms() for _ in range(count)])
     assert all(low <= delay <= high for run in runs for delay in run)
     assert runs[0] != runs[1]
+
+
+@behave.then('an answer with the status {status:d} stands for {outcome}')
+def stands_for(context, status, outcome):
+    answer = messages.Answer(status, 'text/plain', b'')
+    assert plain_call.outcome_of(answer).value == outcome
