--- a/eelgrassknot/requests/generation.py
+++ b/eelgrassknot/requests/generation.py
@@ -6,6 +6,7 @@
 from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot.requests import generation_messages as messages
 from eelgrassknot.requests import progress as progresses
+from eelgrassknot.requests import recovery as recoveries
 from eelgrassknot.requests import timeline as timelines
 from eelgrassknot import states
 from eelgrassknot.upstreams import messages as upstream_messages
@@ -14,23 +15,11 @@
 
 NEVER_MS = float('inf')
 MAX_ATTEMPTS = 4
-MAX_FAILURES_BEFORE_FIRST_TOKEN = 2
-MAX_FAILURES = 4
-RECONNECT_DELAY_MS = 250.0
-DEAD_AFTER_MS = 6_000.0
-STALLED_AFTER_MS = 30_000.0
-WAITING_AFTER_MS = 120_000.0
-MAX_FAULTY_STREAMS = 6
 RESUME_GRACE_MS = 5_000.0
 NOT_RUN_STATUS = 503
 NOT_FOUND_STATUS = 404
 SERVER_ERROR_STATUS = 500
 
-_WAITING_PARTS = {
-    states.GenerationState.WAITING: timelines.TimePart.ENGINE_QUEUE,
-    states.GenerationState.PREEMPTED: timelines.TimePart.PREEMPTION,
-}
-
 
 class Stage(enum.Enum):
     """Stages of a generation request."""
@@ -59,7 +48,7 @@
         connection: Number of the open connection, or None.
         resuming: Whether that connection resumes a generation.
         probe: Number of the probe that is on its way, or None.
-        failures: Connections and probes that failed since a success.
+        recovery: What went wrong since the engine made progress.
         sent: Whether a byte of the present attempt may have left.
         may_have_run: Whether a byte of any attempt may have left.
     """
@@ -86,8 +75,7 @@
         self.probe: int | None = None
         self.probes_sent = 0
         self.attempts = 0
-        self.failures = 0
-        self.faulty_streams = 0
+        self.recovery = recoveries.Recovery()
         self.sent = False
         self.may_have_run = False
         self.reconnect_at_ms = NEVER_MS
@@ -170,8 +158,8 @@
             return self._drop_faulty_stream(now_ms)
         if token.index < progress.next_index:
             return []
-        if self.failures or not self.sent:
-            self.failures = 0
+        if self.recovery.failures or not self.sent:
+            self.recovery.succeed()
             self._mark_sent()
         progress.advance(now_ms)
         delivery = messages.DeliverToken(token)
@@ -203,7 +191,7 @@
         self.generation = placed.generation
         self.crosses_region = placed.crosses_region
         self.attempts += 1
-        self.failures = 0
+        self.recovery.succeed()
         self.sent = False
         self.resuming = False
         self.probe = None
@@ -238,12 +226,11 @@
     def _drop_faulty_stream(self, now_ms: float) -> list[messages.Action]:
         # A crossed answer or a missing token: nothing more that comes by
         # this connection can be trusted.
-        self.faulty_streams += 1
         self._mark_sent()
         closed = self._drop_stream()
-        if self.faulty_streams > MAX_FAULTY_STREAMS:
-            return closed + self._lose('faulty_streams', now_ms)
-        return closed + self._reconnect(now_ms)
+        if self.recovery.may_replace_faulty():
+            return closed + self._reconnect(now_ms)
+        return closed + self._lose('faulty_streams', now_ms)
 
     def _connection_event(
         self, event: messages.Event, now_ms: float
@@ -296,28 +283,21 @@
         if not bytes_left and not self.sent:
             return self._replace('engine_unreachable', now_ms)
         self._mark_sent()
-        if self.failures or not bytes_left:
+        if self.recovery.failures or not bytes_left:
             return self._count_failure(now_ms)
-        self.failures += 1
+        self.recovery.failures += 1
         return self._reconnect(now_ms)
 
     def _count_failure(self, now_ms: float) -> list[messages.Action]:
-        self.failures += 1
-        if self._is_dead(now_ms):
+        silent_ms = now_ms - self.progress.last_ms
+        delay_ms = self.recovery.fail(self.is_committed(), silent_ms)
+        if delay_ms is None:
             return self._lose('engine_dead', now_ms)
         self.progress.blame(timelines.TimePart.LINK, now_ms)
         self.stage = Stage.RECONNECTING
-        delay_ms = RECONNECT_DELAY_MS * 2 ** min(self.failures - 1, 4)
         self.reconnect_at_ms = now_ms + delay_ms
         return []
 
-    def _is_dead(self, now_ms: float) -> bool:
-        if not self.is_committed():
-            return self.failures >= MAX_FAILURES_BEFORE_FIRST_TOKEN
-        if self.failures < MAX_FAILURES:
-            return False
-        return now_ms - self.progress.last_ms >= DEAD_AFTER_MS
-
     def _reconnect(self, now_ms: float) -> list[messages.Action]:
         self.progress.blame(timelines.TimePart.LINK, now_ms)
         self.progress.expect(now_ms)
@@ -389,16 +369,11 @@
     def _wait_on(
         self, state: states.GenerationState, now_ms: float
     ) -> list[messages.Action]:
-        self.failures = 0
-        patience_ms = STALLED_AFTER_MS
-        part = timelines.TimePart.STALL
-        if state in _WAITING_PARTS:
-            patience_ms = WAITING_AFTER_MS
-            part = _WAITING_PARTS[state]
-        elif self.progress.next_index == 0:
-            part = timelines.TimePart.PREFILL
-        self.progress.blame(part, now_ms)
-        if now_ms - self.progress.last_ms >= patience_ms:
+        self.recovery.succeed()
+        begun = self.progress.next_index > 0
+        patience = recoveries.patience_with(state, begun)
+        self.progress.blame(patience.part, now_ms)
+        if now_ms - self.progress.last_ms >= patience.limit_ms:
             return self._drop_stream() + self._lose('stalled', now_ms)
         self.progress.silence.back_off()
         self.progress.expect(now_ms)
@@ -417,7 +392,7 @@
         if self.sent:
             part = timelines.TimePart.STALL
         self.progress.timeline.charge(part, now_ms)
-        if self.progress.discard(reason):
+        if self.progress.discard():
             actions.append(messages.DiscardTokens())
         self.stage = Stage.QUEUED
         return actions + [messages.Place(self.upstream.upstream)]
@@ -434,7 +409,7 @@
             self._mark_sent()
         actions = self._drop_stream() + self._cancel(0)
         if not self.is_committed():
-            self.progress.discard(reason)
+            self.progress.discard()
             return actions + self._end(self._nothing(reason))
         end = messages.EndRequest(states.Outcome.INCOMPLETE, reason)
         return actions + self._end(end)
