--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -27,7 +27,7 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # Each request in hand holds one, whether it waits or streams.
-CALLER_THREADS = 512
+CALLER_THREADS = 384
 MAX_REQUEST_ID_CHARACTERS = 128
 
 _METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
