--- a/eelgrassknot/coordination/digest_part.py
+++ b/eelgrassknot/coordination/digest_part.py
@@ -38,8 +38,8 @@
         node.hub.subscribe(events.ConfigAdopted, self._adopted)
         node.hub.subscribe(membership_part.EntryVmsChanged, self._members)
 
-    def start(self) -> None:
-        """Begin to exchange digests."""
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
         members = self.node.part_set.parts
         self.dispatch = members['dispatch']
         self.upstreams = members['upstreams']
--- a/eelgrassknot/coordination/lease_part.py
+++ b/eelgrassknot/coordination/lease_part.py
@@ -62,9 +62,12 @@
         self.executor = concurrent.futures.ThreadPoolExecutor(1, 'lease')
         self.ticker = ticker.Ticker('lease', TICK_MS, self._tick)
 
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
+        self.membership = self.node.part_set.parts['membership']
+
     def start(self) -> None:
         """Begin to watch the lease."""
-        self.membership = self.node.part_set.parts['membership']
         self.ticker.start()
 
     def drain(self) -> None:
--- a/eelgrassknot/coordination/membership_part.py
+++ b/eelgrassknot/coordination/membership_part.py
@@ -86,12 +86,15 @@
         self.ticker = ticker.Ticker('membership', TICK_MS, self._tick)
         node.hub.subscribe(vm_list_part.VmListRead, self._listed)
 
-    def start(self) -> None:
-        """Begin to send and hear heartbeats."""
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
         self.config = self.node.part_set.parts['config']
         self.link = self.node.part_set.parts['peers'].link
         self.link.on_message(messages.Heartbeat, self._heard)
         self.link.on_message(messages.Introduction, self._introduced)
+
+    def start(self) -> None:
+        """Begin to send and hear heartbeats."""
         for address in self.node.settings.known_peers:
             self.link.connect(address, address)
             self.introduce_to.add(address)
--- a/eelgrassknot/coordination/vm_list_part.py
+++ b/eelgrassknot/coordination/vm_list_part.py
@@ -54,12 +54,15 @@
         self.executor = concurrent.futures.ThreadPoolExecutor(1, 'vm-list')
         self.ticker = ticker.Ticker('vm-list', TICK_MS, self._tick)
 
-    def start(self) -> None:
-        """Begin to read the list."""
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
         self.link = self.node.part_set.parts['peers'].link
         self.membership = self.node.part_set.parts['membership']
         self.link.on_message(messages.ListChange, self._told)
         self.link.on_query(messages.ListFetch, self._answer_fetch)
+
+    def start(self) -> None:
+        """Begin to read the list."""
         self._tick()
         self.ticker.start()
 
--- a/eelgrassknot/frontend/callers.py
+++ b/eelgrassknot/frontend/callers.py
@@ -74,10 +74,13 @@
             CALLER_THREADS,
         )
 
-    def start(self) -> None:
-        """Listen for callers."""
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
         self.dispatch = self.node.part_set.parts['dispatch']
         self.relays = self.node.part_set.parts['relays']
+
+    def start(self) -> None:
+        """Listen for callers."""
         self.server.start()
 
     def drain(self) -> None:
--- a/eelgrassknot/frontend/claim_part.py
+++ b/eelgrassknot/frontend/claim_part.py
@@ -71,13 +71,16 @@
             'claims', STORE_POLL_MS, IDLE_POLL_MS, self._store_due
         )
 
-    def start(self) -> None:
-        """Begin to store outcomes, and to answer peers."""
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
         members = self.node.part_set.parts
         self.relays = members['relays']
         peers_part = members.get('request_peers')
         if peers_part is not None:
             peers_part.lookup = self.ledger.answer
+
+    def start(self) -> None:
+        """Begin to store outcomes."""
         self.loop.start()
 
     def drain(self) -> None:
--- a/eelgrassknot/frontend/relay_part.py
+++ b/eelgrassknot/frontend/relay_part.py
@@ -68,9 +68,12 @@
         self.lane = lanes.Lane(node.clock)
         node.hub.subscribe(kernel_events.UpstreamsChanged, self._upstreams)
 
+    def bind(self) -> None:
+        """Learn of the parts that this one works with."""
+        self.dispatch = self.node.part_set.parts['dispatch']
+
     def start(self) -> None:
         """Begin to cancel what nobody reads."""
-        self.dispatch = self.node.part_set.parts['dispatch']
         self.loop.start()
         self.lane.start()
 
--- a/eelgrassknot/kernel/parts.py
+++ b/eelgrassknot/kernel/parts.py
@@ -15,6 +15,13 @@
 class Part:
     """One part of a daemon; each method may be left as it is."""
 
+    def bind(self) -> None:
+        """Learn of the other parts, before any of them is started.
+
+        A part that is started may publish events at once, also to parts
+        that start later; what a subscriber needs is set here.
+        """
+
     def start(self) -> None:
         """Begin to work; the parts that this one needs have started."""
 
@@ -109,7 +116,9 @@
             self.parts[entry.name] = entry.create(node)
 
     def start(self) -> None:
-        """Start each part after those that it needs."""
+        """Bind all parts, then start each after those that it needs."""
+        for member in self.parts.values():
+            member.bind()
         for name, member in self.parts.items():
             member.start()
             logs.event('part_started', part=name)
