A daemon whose part cannot start ends; heartbeats are taken in together

Start: a part that raised left the process in state starting for good, seen when the machine was short of threads. Peer link: each heartbeat woke the thread.

--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -32,6 +32,7 @@
 RECONNECT_MS = 200
 MAX_RECONNECT_MS = 3_000
 POLL_MS = 500
+GATHER_MS = 200.0
 # Questions beyond this many give the oldest one up.
 MAX_WAITING = 1_024
 
@@ -254,8 +255,13 @@
 
     def _run(self) -> None:
         while not self.stopped.is_set():
-            if self.puller.poll(POLL_MS):
-                self._drain()
+            if not self.puller.poll(POLL_MS):
+                continue
+            if not self.waiting:
+                # Heartbeats come one by one; taking in several at once
+                # costs less than a wake-up for each.
+                self.stopped.wait(GATHER_MS / clocks.MS_PER_SECOND)
+            self._drain()
         self.puller.close(linger=0)
 
     def _drain(self) -> None:
--- a/eelgrassknot/daemon.py
+++ b/eelgrassknot/daemon.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import faulthandler
+import os
 import random
 import signal
 import sys
@@ -69,6 +70,9 @@
     Args:
         node: The node to run.
         leave: Set when the node has to leave.
+
+    Raises:
+        StartError: If a part of the node cannot start.
     """
     node.hub.subscribe(events.LeaveTold, lambda _: leave.set())
     node.part_set.start()
@@ -110,7 +114,13 @@
     faulthandler.register(signal.SIGUSR1, all_threads=True)
     signal.signal(signal.SIGTERM, lambda *_: leave.set())
     signal.signal(signal.SIGINT, lambda *_: leave.set())
-    serve(create_node(loaded), leave)
+    try:
+        serve(create_node(loaded), leave)
+    except exceptions.StartError as error:
+        logs.error('start_failed', part=error.part, why=str(error))
+        # Threads of the parts that run would keep the process alive,
+        # which serves nobody; the platform replaces a VM that ends.
+        os._exit(1)
 
 
 def _check(path: str) -> None:
