--- a/tests/steps/requests_claim.py
+++ b/tests/steps/requests_claim.py
@@ -1,8 +1,6 @@
 """Steps on the claims of keyed calls."""
 
 import behave
-import hypothesis
-from hypothesis import stateful
 import msgspec
 
 from eelgrassknot import ids
@@ -15,6 +13,7 @@
 from eelgrassknot.requests import plain_messages
 from eelgrassknot import states
 from tests import claim_world
+from tests import histories
 
 
 class _TakesOver(claims.Claim):
@@ -54,21 +53,8 @@
 
 
 def _run_histories(kind, examples):
-    class Histories(claim_world.ClaimHistories):
-        machine_class = kind
-
-    stateful.run_state_machine_as_test(
-        Histories,
-        settings=hypothesis.settings(
-            max_examples=examples,
-            stateful_step_count=50,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            report_multiple_bugs=False,
-            phases=[hypothesis.Phase.generate],
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
+    histories.run_histories(
+        claim_world.ClaimHistories, kind, examples, step_count=50
     )
 
 
--- a/tests/steps/requests_generation.py
+++ b/tests/steps/requests_generation.py
@@ -1,8 +1,6 @@
 """Steps on the state machine of a generation request."""
 
 import behave
-import hypothesis
-from hypothesis import stateful
 
 from eelgrassknot import ids
 from eelgrassknot.requests import generation as generations
@@ -11,6 +9,7 @@
 from eelgrassknot import states
 from eelgrassknot.upstreams import messages as upstream_messages
 from tests import generation_world
+from tests import histories
 
 _REQUEST = ids.RequestId('r1')
 _RUNNING = states.GenerationState.RUNNING
@@ -46,21 +45,8 @@
 
 
 def _run_histories(kind, examples):
-    class Histories(generation_world.GenerationHistories):
-        machine_class = kind
-
-    stateful.run_state_machine_as_test(
-        Histories,
-        settings=hypothesis.settings(
-            max_examples=examples,
-            stateful_step_count=60,
-            derandomize=True,
-            database=None,
-            deadline=None,
-            report_multiple_bugs=False,
-            phases=[hypothesis.Phase.generate],
-            suppress_health_check=list(hypothesis.HealthCheck),
-        ),
+    histories.run_histories(
+        generation_world.GenerationHistories, kind, examples, step_count=60
     )
 
 
