--- a/eelgrassknot/policy/limits.py
+++ b/eelgrassknot/policy/limits.py
@@ -9,8 +9,9 @@
 Overshoot: while all have heard the same demand the shares add up to
 one. When demand moves, for one exchange interval T a limit of r a second
 may be exceeded by at most r * T * (V - 1) / V over V VMs, since no share
-exceeds one; besides it by one burst a VM, and for tokens, which are
-charged as they stream, by what was running when the bucket ran empty.
+exceeds one; besides it by one burst a VM, which is two seconds of its
+share or four requests, and for tokens, which are charged as they stream,
+by a minute's share and what was running when the bucket ran empty.
 """
 
 from eelgrassknot import clock
@@ -21,7 +22,10 @@
 __all__ = ['AccountLimits']
 
 BURST_S = 2.0
-TOKEN_BURST_S = 10.0
+# Requests come at random: a VM with a small share would otherwise refuse
+# an account that stays well below its limit.
+MIN_BURST_REQUESTS = 4.0
+TOKEN_BURST_S = 60.0
 SECONDS_PER_MINUTE = 60.0
 DEMAND_HALF_LIFE_MS = 5_000.0
 SHARE_INTERVAL_MS = 500.0
@@ -60,12 +64,12 @@
         self.share = share
         rate = account.requests_per_second
         self.requests = _resized(
-            self.requests, rate, share, max(1.0, BURST_S), now_ms
+            self.requests, rate, share, BURST_S, MIN_BURST_REQUESTS, now_ms
         )
         per_minute = account.tokens_per_minute
         per_s = None if per_minute is None else per_minute / SECONDS_PER_MINUTE
         self.tokens = _resized(
-            self.tokens, per_s, share, TOKEN_BURST_S, now_ms
+            self.tokens, per_s, share, TOKEN_BURST_S, 1.0, now_ms
         )
 
     def count(self, now_ms: float) -> None:
@@ -224,12 +228,13 @@
     rate: float | None,
     share: float,
     burst_s: float,
+    least_burst: float,
     now_ms: float,
 ) -> token_bucket.TokenBucket | None:
     if rate is None:
         return None
     part = rate * share
-    burst = max(1.0, part * burst_s)
+    burst = max(least_burst, part * burst_s)
     if bucket is None:
         return token_bucket.TokenBucket(part, burst)
     bucket.resize(part, burst, now_ms)
--- a/tests/steps/policy_limits.py
+++ b/tests/steps/policy_limits.py
@@ -1,5 +1,7 @@
 """Steps on the limits of client accounts."""
 
+import random
+
 import behave
 
 from eelgrassknot.policy import limits
@@ -123,3 +125,29 @@
     for index, vm in enumerate(context.vms):
         own = context.zones.count(context.zones[index])
         vm.know_vms(len(context.vms), own, 0.0)
+
+
+@behave.when(
+    '{rate:d} requests a second come to VMs at random for {span_s:d} s'
+)
+def come_at_random(context, rate, span_s):
+    generator = random.Random(1)
+    until_ms = context.now_ms + span_s * 1_000.0
+    exchanged_ms = context.now_ms
+    context.asked = context.passed = 0
+    while context.now_ms < until_ms:
+        context.now_ms += generator.expovariate(rate) * 1_000.0
+        vm = generator.choice(context.vms)
+        context.asked += 1
+        context.passed += vm.admit('hotel', context.now_ms) == 0.0
+        if context.now_ms - exchanged_ms >= EXCHANGE_MS:
+            exchanged_ms = context.now_ms
+            exchange(context)
+            for each in context.vms:
+                each.update(context.now_ms)
+
+
+@behave.then('at most {percent:d} percent of them are refused')
+def hardly_refused(context, percent):
+    refused = context.asked - context.passed
+    assert refused <= context.asked * percent / 100, (refused, context.asked)
