--- a/eelgrassknot/frontend/relay.py
+++ b/eelgrassknot/frontend/relay.py
@@ -6,10 +6,8 @@
 import threading
 import typing
 
-import msgspec
-import result
-
 from eelgrassknot.frontend import context as contexts
+from eelgrassknot.frontend import engine_answers
 from eelgrassknot.frontend import lane as lanes
 from eelgrassknot import ids
 from eelgrassknot.kernel import events as kernel_events
@@ -149,7 +147,7 @@
                 self._open(connection, upstream, generation)
             case messages.ResumeStream(connection, upstream, generation, at):
                 self._register(generation)
-                url = _generation_url(upstream, generation)
+                url = engine_answers.generation_url(upstream, generation)
                 stream = engine_stream.EngineStream(
                     'GET', f'{url}?from={at}', None, self._headers()
                 )
@@ -323,7 +321,7 @@
                 actions += machine.take_token(connection, event, now_ms)
             else:
                 actions += machine.handle(
-                    _stream_event(connection, event), now_ms
+                    engine_answers.stream_event(connection, event), now_ms
                 )
         self.report(len(actions), now_ms)
         return actions
@@ -334,7 +332,9 @@
         if self.probe is not None and self.probe.done():
             answer = self.probe.result()
             self.probe = None
-            return self._tell(_status_event(self.probe_number, answer))
+            return self._tell(
+                engine_answers.status_event(self.probe_number, answer)
+            )
         return self._tell(messages.Tick())
 
     def report(self, count: int, now_ms: float) -> None:
@@ -386,45 +386,3 @@
         done = self.machine.outcome.outcome is states.Outcome.DONE
         tell(policy.RequestEnded(request, done))
         return None
-
-
-def _generation_url(
-    upstream: kernel_events.UpstreamInfo, generation: ids.GenerationId
-) -> str:
-    return f'http://{upstream.address}/v1/generations/{generation}'
-
-
-def _stream_event(
-    connection: int, event: upstream_messages.StreamEvent
-) -> messages.Event:
-    match event:
-        case upstream_messages.AnswerStarted():
-            return messages.StreamAccepted(connection)
-        case upstream_messages.AnswerRefused(status, body):
-            return messages.StreamRejected(connection, status, body)
-        case upstream_messages.StreamDone():
-            return messages.StreamFinished(connection)
-        case upstream_messages.StreamBroken(error):
-            return messages.StreamClosed(connection, error.bytes_left)
-    raise TypeError(event)
-
-
-def _status_event(probe: int, answer: result.Result) -> messages.Event:
-    match answer:
-        case result.Ok(None):
-            return messages.StatusMissing(probe)
-        case result.Ok(upstream_messages.EngineStatus(state, produced)):
-            return messages.StatusReceived(probe, state, produced)
-    return messages.StatusLost(probe)
-
-
-def start_body(request: msgspec.Struct, model: str) -> bytes:
-    """Return the body that starts a generation at an engine.
-
-    Args:
-        request: The caller's request, whose model is a service's name.
-        model: Model as the engines know it.
-    """
-    return msgspec.json.encode(
-        msgspec.structs.replace(request, model=model, stream=True)
-    )
