--- a/tests/run.py
+++ b/tests/run.py
@@ -142,6 +142,8 @@
         print(f'known red: {name}')
     for name in sorted(known.intersection(passed)):
         print(f'known red has turned green, take it off the list: {name}')
+    for name in sorted(known.difference(passed, failed)):
+        print(f'known red, not among these scenarios: {name}')
     for name in red:
         print(f'red: {name}')
     print(f'scenarios: {len(passed)} passed, {len(red)} failed')
