--- a/eelgrassknot/clock.py
+++ b/eelgrassknot/clock.py
@@ -8,6 +8,7 @@
 import typing
 
 __all__ = [
+    'BootClock',
     'Clock',
     'ManualClock',
     'MonotonicClock',
@@ -39,6 +40,14 @@
         return time.monotonic() * MS_PER_SECOND
 
 
+class BootClock:
+    """Monotonic clock that goes on while the machine is suspended."""
+
+    def now_ms(self) -> float:
+        """Return the time since the machine's start in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_SECOND
+
+
 class WallClock:
     """Clock of the calendar, for what people and other VMs read.
 
--- /dev/null
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -0,0 +1,328 @@
+"""Callers' connections: HTTP/1.1 requests in, answers out, in order."""
+
+import collections.abc
+import dataclasses
+import errno
+import socket
+import typing
+
+import h11
+import msgspec
+
+from eelgrassknot.forwarding import connection as connections
+from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import model
+from eelgrassknot import logs
+from eelgrassknot import states
+
+__all__ = ['CallerConnection', 'CallerRequest', 'DEFAULT_LIMITS', 'Exchange']
+
+DEFAULT_LIMITS = model.CallerLimits(16_384, 4_194_304, 3_000.0, 15_000.0)
+"""Limits before the first desired state is known."""
+IDLE_MARGIN = 1.1
+"""An idle connection is kept for this much of the stated time, so that a
+caller that keeps to it never meets our close."""
+LINGER_MS = 1_000.0
+"""How long the rest of a rejected body is read before the close; ms."""
+HEAD_SLACK_BYTES = 4_096
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """One request, read whole.
+
+    Attributes:
+        headers: Pairs with the names in lower case.
+        raw_headers: The same in the caller's own spelling.
+        received_ms: When its head had come.
+        has_body: Whether the caller framed a body, even an empty one.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    raw_headers: Headers
+    body: bytes
+    received_ms: float
+    has_body: bool
+
+
+class Server(typing.Protocol):
+    """What a caller's connection needs of the program behind it."""
+
+    loop: loops.EventLoop
+    limits: model.CallerLimits
+    draining: bool
+
+    def handle(self, exchange: 'Exchange') -> None:
+        """Take a request; its exchange is ended by the server."""
+
+    def forget(self, connection: 'CallerConnection') -> None:
+        """Take in that a connection has ended."""
+
+
+class Exchange:
+    """One request of a caller and the answer to it.
+
+    Attributes:
+        gone: Called once if the caller leaves before the end.
+        is_over: Whether the answer is complete or the caller has left.
+        started: Whether the head of the answer was sent.
+    """
+
+    def __init__(
+        self, connection: 'CallerConnection', request: CallerRequest
+    ) -> None:
+        self.connection = connection
+        self.request = request
+        self.gone: collections.abc.Callable[[], None] | None = None
+        self.is_over = False
+        self.started = False
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer.
+
+        Args:
+            status: Its status.
+            headers: Its headers; with a Content-Length the body is framed
+                by length, else in chunks.
+        """
+        self.started = True
+        if self.connection.server.draining:
+            headers = [*headers, (b'Connection', b'close')]
+        self.connection.send(
+            h11.Response(status_code=status, headers=headers, reason=b'')
+        )
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if data and self.request.method != b'HEAD':
+            self.connection.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.is_over = True
+        self.connection.finish()
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = str(len(body)).encode('ascii')
+        self.start(status, [*headers, (b'Content-Length', length)])
+        self.send(body)
+        self.finish()
+
+    def break_off(self) -> None:
+        """End the connection so that the answer can't look complete."""
+        self.is_over = True
+        self.connection.abort()
+
+    def leave(self) -> None:
+        """Take in that the caller has left."""
+        if self.is_over:
+            return
+        self.is_over = True
+        if self.gone is not None:
+            self.gone()
+
+
+class CallerConnection(connections.Handler):
+    """A connection on which one caller sends requests.
+
+    Args:
+        server: The program behind it.
+        stream: The accepted socket.
+    """
+
+    def __init__(self, server: Server, stream: socket.socket) -> None:
+        self.server = server
+        self.limits = server.limits
+        self.parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.header_bytes
+            + HEAD_SLACK_BYTES,
+        )
+        self.head: h11.Request | None = None
+        self.head_ms = 0.0
+        self.body = bytearray()
+        self.exchange: Exchange | None = None
+        self.timer: loops.Timer | None = None
+        self.rejected = False
+        self.link = connections.Connection.accepted(server.loop, stream, self)
+        self._expect_head()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self.exchange is None and self.head is None
+
+    def received(self, data: bytes) -> None:
+        """Take in bytes of the caller."""
+        if self.rejected:
+            return
+        self.parser.receive_data(data)
+        if self.exchange is None:
+            self._read_events()
+        elif len(self.parser.trailing_data[0]) > self.limits.body_bytes:
+            self.abort()
+            self.ended(OSError(errno.ENOBUFS, 'too much sent ahead'))
+
+    def ended(self, error: OSError | None) -> None:
+        """Take in that the caller's end has closed or broken."""
+        self.link.abort() if error else self.link.close()
+        self._stop_timer()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.leave()
+        self.server.forget(self)
+
+    def send(self, event: h11.Event) -> None:
+        """Send a part of an answer."""
+        data = self.parser.send(event)
+        if data:
+            self.link.send(data)
+
+    def finish(self) -> None:
+        """End the present answer and go on to the next request."""
+        self.send(h11.EndOfMessage())
+        self.exchange = None
+        if self.rejected:
+            return
+        if self.parser.our_state is h11.MUST_CLOSE:
+            self._close()
+            return
+        if self.parser.their_state is not h11.DONE:
+            self._close()
+            return
+        self.parser.start_next_cycle()
+        self.limits = self.server.limits
+        self._expect_head()
+        # In a later round, so that a row of answers can't recurse.
+        self.server.loop.call_soon(self._read_events)
+
+    def close_idle(self) -> None:
+        """Close if nothing is in hand."""
+        if self.is_idle and not self.parser.trailing_data[0]:
+            self._close()
+
+    def abort(self) -> None:
+        """End the connection with a reset."""
+        self._stop_timer()
+        self.exchange = None
+        self.link.abort()
+        self.server.forget(self)
+
+    def _close(self) -> None:
+        self._stop_timer()
+        self.link.close()
+        self.server.forget(self)
+
+    def _read_events(self) -> None:
+        try:
+            while self.exchange is None and not self.link.closed:
+                event = self.parser.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def _take(self, event: h11.Event) -> None:
+        match event:
+            case h11.Request():
+                self._begin(event)
+            case h11.Data():
+                self.body += event.data
+                if len(self.body) > self.limits.body_bytes:
+                    self._reject(413, 'the body is over the limit')
+            case h11.EndOfMessage():
+                self._complete()
+            case h11.ConnectionClosed():
+                self._close()
+
+    def _begin(self, head: h11.Request) -> None:
+        self.head = head
+        self.head_ms = self.server.loop.now_ms()
+        self.body = bytearray()
+        found = dict(head.headers)
+        if b'transfer-encoding' in found and b'content-length' in found:
+            raise h11.RemoteProtocolError('two framings of one body')
+        if int(found.get(b'content-length', 0)) > self.limits.body_bytes:
+            self._reject(413, 'the body is over the limit')
+            return
+        if self.parser.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _complete(self) -> None:
+        self._stop_timer()
+        head, self.head = self.head, None
+        names = {name for name, _ in head.headers}
+        request = CallerRequest(
+            method=head.method,
+            target=head.target,
+            headers=list(head.headers),
+            raw_headers=list(head.headers.raw_items()),
+            body=bytes(self.body),
+            received_ms=self.head_ms,
+            has_body=bool(names & {b'content-length', b'transfer-encoding'}),
+        )
+        self.body = bytearray()
+        self.exchange = Exchange(self, request)
+        self.server.handle(self.exchange)
+
+    def _reject(self, status: int, reason: str) -> None:
+        """Answer a request that cannot be read, then end the connection."""
+        if self.rejected:
+            return
+        logs.warning('request_rejected', status=status, why=reason)
+        self.rejected = True
+        self._stop_timer()
+        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = msgspec.json.encode(
+                {
+                    'error': {
+                        'type': 'invalid_request',
+                        'message': reason,
+                        'remedy': 'correct the request and send it anew',
+                        'outcome': states.Outcome.INVALID.value,
+                    }
+                }
+            )
+            headers = [
+                (b'Content-Type', b'application/json'),
+                (b'Content-Length', str(len(body)).encode('ascii')),
+                (b'Connection', b'close'),
+            ]
+            self.send(
+                h11.Response(status_code=status, headers=headers, reason=b'')
+            )
+            self.send(h11.Data(data=body))
+            self.send(h11.EndOfMessage())
+        # Reads on for a while: a close with unread bytes is a reset, which
+        # may take the answer with it.
+        self.server.loop.call_later(LINGER_MS, self._close)
+
+    def _expect_head(self) -> None:
+        self._stop_timer()
+        if self.parser.trailing_data[0]:
+            self._start_timer(self.limits.header_timeout_ms)
+        else:
+            self._start_timer(self.limits.idle_timeout_ms * IDLE_MARGIN)
+
+    def _start_timer(self, delay_ms: float) -> None:
+        self.timer = self.server.loop.call_later(delay_ms, self._timed_out)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _timed_out(self) -> None:
+        self.timer = None
+        if self.exchange is not None or self.link.closed:
+            return
+        if self.parser.trailing_data[0] or self.head is not None:
+            self._reject(408, 'the request took too long to come')
+        else:
+            self._close()
--- /dev/null
+++ b/eelgrassknot/forwarding/connection.py
@@ -0,0 +1,255 @@
+"""Non-blocking TCP connections on the event loop."""
+
+import collections.abc
+import errno
+import functools
+import selectors
+import socket
+import struct
+
+from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.settings import vm as vm_settings
+
+__all__ = ['Connection', 'Handler', 'Listener']
+
+READ_BYTES = 65_536
+ACCEPT_BATCH = 64
+BACKLOG = 1_024
+MAX_UNSENT_BYTES = 4_194_304
+"""Bytes held for a reader that does not read; the largest body allowed."""
+USER_TIMEOUT_MS = 4_000
+"""Unacknowledged bytes end a connection after this; ms (contact bound)."""
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Handler:
+    """What a connection tells its owner; each method may be left out."""
+
+    def connected(self) -> None:
+        """The connection is established."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes have come."""
+
+    def ended(self, error: OSError | None) -> None:
+        """The peer closed (``error`` is None) or the connection broke."""
+
+
+class Connection:
+    """One TCP connection.
+
+    Args:
+        loop: The loop that serves it.
+        stream: Its non-blocking socket.
+        handler: Is told what happens.
+
+    Attributes:
+        closed: Whether it can no longer be used.
+        bytes_sent: Bytes handed to the kernel so far.
+    """
+
+    def __init__(
+        self, loop: loops.EventLoop, stream: socket.socket, handler: Handler
+    ) -> None:
+        self.loop = loop
+        self.stream = stream
+        self.handler = handler
+        self.unsent = bytearray()
+        self.connecting = False
+        self.closing = False
+        self.closed = False
+        self.bytes_sent = 0
+        self.mask = 0
+
+    @classmethod
+    def accepted(
+        cls,
+        loop: loops.EventLoop,
+        stream: socket.socket,
+        handler: Handler,
+    ) -> 'Connection':
+        """Return a connection for an accepted socket."""
+        _prepare(stream)
+        connection = cls(loop, stream, handler)
+        connection._watch()
+        return connection
+
+    @classmethod
+    def opened(
+        cls, loop: loops.EventLoop, address: str, handler: Handler
+    ) -> 'Connection':
+        """Start to connect to ``IP:port``."""
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        _prepare(stream)
+        connection = cls(loop, stream, handler)
+        connection.connecting = True
+        code = stream.connect_ex(vm_settings.split_address(address))
+        if code not in (0, errno.EINPROGRESS):
+            error = OSError(code, 'connect')
+            loop.call_soon(lambda: connection._end(error))
+            return connection
+        connection._watch()
+        return connection
+
+    def send(self, data: bytes) -> None:
+        """Send bytes, or keep them until the peer reads."""
+        if self.closed or not data:
+            return
+        if not self.unsent and not self.connecting:
+            data = data[self._push(data) :]
+        if self.closed or not data:
+            return
+        self.unsent += data
+        if len(self.unsent) > MAX_UNSENT_BYTES:
+            self.abort()
+            error = OSError(errno.ENOBUFS, 'the peer does not read')
+            self.loop.call_soon(lambda: self.handler.ended(error))
+            return
+        self._watch()
+
+    def close(self) -> None:
+        """Close once all bytes are sent."""
+        self.closing = True
+        if not self.unsent or self.connecting:
+            self._release()
+
+    def abort(self) -> None:
+        """Close at once with a reset, so that nobody takes it as complete."""
+        if not self.closed:
+            self.stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._release()
+
+    def _watch(self) -> None:
+        mask = selectors.EVENT_READ
+        if self.unsent or self.connecting:
+            mask |= selectors.EVENT_WRITE
+        if mask != self.mask and not self.closed:
+            self.mask = mask
+            self.loop.watch(self.stream, mask, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        if self.connecting:
+            self._finish_connecting()
+            return
+        if mask & selectors.EVENT_WRITE:
+            self._flush()
+        if mask & selectors.EVENT_READ and not self.closed:
+            self._read()
+
+    def _finish_connecting(self) -> None:
+        code = self.stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._end(OSError(code, 'connect'))
+            return
+        self.connecting = False
+        self.handler.connected()
+        self._flush()
+
+    def _flush(self) -> None:
+        if self.unsent and not self.closed:
+            del self.unsent[: self._push(self.unsent)]
+        if self.closed:
+            return
+        if self.closing and not self.unsent:
+            self._release()
+            return
+        self._watch()
+
+    def _push(self, data: bytes | bytearray) -> int:
+        try:
+            count = self.stream.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            # Reported from the loop: the sender may be amid a change.
+            self.closed = True
+            self.loop.unwatch(self.stream)
+            self.stream.close()
+            self.loop.call_soon(functools.partial(self.handler.ended, error))
+            return 0
+        self.bytes_sent += count
+        return count
+
+    def _read(self) -> None:
+        try:
+            data = self.stream.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(error)
+            return
+        if data:
+            self.handler.received(data)
+        else:
+            self._end(None)
+
+    def _end(self, error: OSError | None) -> None:
+        if self.closed:
+            return
+        self._release()
+        self.handler.ended(error)
+
+    def _release(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.unwatch(self.stream)
+        self.stream.close()
+
+
+class Listener:
+    """Accepts connections on an address.
+
+    Args:
+        loop: The loop that serves it.
+        address: ``IP:port``.
+        accept: Takes each accepted socket.
+    """
+
+    def __init__(
+        self,
+        loop: loops.EventLoop,
+        address: str,
+        accept: collections.abc.Callable[[socket.socket], None],
+    ) -> None:
+        self.loop = loop
+        self.accept = accept
+        self.stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.stream.bind(vm_settings.split_address(address))
+        self.stream.listen(BACKLOG)
+        self.stream.setblocking(False)
+        loop.watch(self.stream, selectors.EVENT_READ, self._ready)
+
+    def close(self) -> None:
+        """Accept no more."""
+        self.loop.unwatch(self.stream)
+        self.stream.close()
+
+    def _ready(self, _: int) -> None:
+        for _ in range(ACCEPT_BATCH):
+            try:
+                stream, _address = self.stream.accept()
+            except BlockingIOError:
+                return
+            self.accept(stream)
+
+
+def _prepare(stream: socket.socket) -> None:
+    stream.setblocking(False)
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        stream.setsockopt(level, option, value)
--- /dev/null
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -0,0 +1,177 @@
+"""Takes callers' requests, checks them, and hands them to drivers."""
+
+import random
+
+from eelgrassknot.forwarding import access
+from eelgrassknot.forwarding import call_driver
+from eelgrassknot.forwarding import caller_connection
+from eelgrassknot.forwarding import dialect as dialects
+from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import refusals
+from eelgrassknot.forwarding import routing
+from eelgrassknot.forwarding import stream_driver
+from eelgrassknot.forwarding import work as works
+from eelgrassknot import ids
+from eelgrassknot import logs
+from eelgrassknot import states
+
+__all__ = ['Forwarder']
+
+RETRY_AFTER_MS = 500.0
+"""Retry-After while this VM does not know enough to serve; ms. Another
+VM takes the repeat."""
+
+
+class Forwarder:
+    """The program behind callers' connections.
+
+    Args:
+        context: What drivers use.
+        book: Keys and how current they are.
+        generator: Source of random choices.
+
+    Attributes:
+        limits: What callers may send.
+        draining: Whether this VM is about to end.
+        connections: All connections of callers.
+        state: The deployment's state in force, or None before the first.
+    """
+
+    def __init__(
+        self,
+        context: works.Context,
+        book: access.AccessBook,
+        generator: random.Random,
+    ) -> None:
+        self.loop = context.loop
+        self.context = context
+        self.book = book
+        self.generator = generator
+        self.limits = caller_connection.DEFAULT_LIMITS
+        self.draining = False
+        self.connections: set[caller_connection.CallerConnection] = set()
+        self.state: model.DeploymentState | None = None
+        self.routes = routing.RouteTable(())
+
+    def adopt(self, state: model.DeploymentState) -> None:
+        """Put a state in force if it is newer than the present one."""
+        if self.state is not None and state.version <= self.state.version:
+            return
+        self.state = state
+        self.limits = state.limits
+        self.routes = routing.RouteTable(state.routes)
+        self.book.replace(state.accounts)
+        logs.event(
+            'state_adopted',
+            version=state.version,
+            routes=len(state.routes),
+            services=len(state.services),
+            accounts=len(state.accounts),
+        )
+
+    def forget(self, connection: caller_connection.CallerConnection) -> None:
+        """Take in that a caller's connection has ended."""
+        self.connections.discard(connection)
+
+    @property
+    def in_hand(self) -> int:
+        """Requests that are being served."""
+        return sum(not each.is_idle for each in self.connections)
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is in hand."""
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    def handle(self, exchange: caller_connection.Exchange) -> None:
+        """Check a request and forward it."""
+        headers = self.context.dialect.caller_headers(exchange.request.headers)
+        if self.state is None:
+            self._refuse(exchange, headers, 503, 'no_state')
+            return
+        route = self._route(exchange)
+        if route is None:
+            status = 404 if self.book.is_current(self.loop.now_ms()) else 503
+            self._refuse(exchange, headers, status, 'no_route')
+            return
+        account = None
+        if self.state.has_accounts and not route.public:
+            standing, account = self.book.judge(
+                headers.key, self.loop.now_ms()
+            )
+            if standing is access.Standing.OUT_OF_DATE:
+                self._refuse(exchange, headers, 503, 'keys_out_of_date')
+                return
+            if standing is access.Standing.UNKNOWN_KEY:
+                self._refuse(exchange, headers, 401, 'unknown_key')
+                return
+        service = self._service(route)
+        if service is None:
+            self._refuse(exchange, headers, 503, 'no_service')
+            return
+        self._forward(exchange, headers, route, service, account)
+
+    def _forward(
+        self,
+        exchange: caller_connection.Exchange,
+        headers: dialects.CallerHeaders,
+        route: model.Route,
+        service: model.Service,
+        account: model.Account | None,
+    ) -> None:
+        started_ms = exchange.request.received_ms
+        limit_ms = route.timeout_ms
+        if headers.deadline_ms is not None:
+            limit_ms = min(limit_ms, headers.deadline_ms)
+        rank = route.priority
+        if account is not None and account.priority is not None:
+            rank = account.priority
+        work = works.Work(
+            exchange=exchange,
+            request=headers.request or ids.RequestId(ids.random_id()),
+            route=route,
+            service=service,
+            account=access.account_name(account),
+            rank=rank,
+            headers=headers,
+            started_ms=started_ms,
+            deadline_ms=started_ms + limit_ms,
+        )
+        if route.kind is model.RouteKind.STREAMING:
+            stream_driver.StreamDriver(self.context, work).start()
+        else:
+            call_driver.CallDriver(self.context, work).start()
+
+    def _route(
+        self, exchange: caller_connection.Exchange
+    ) -> model.Route | None:
+        found = dict(exchange.request.headers)
+        host = found.get(b'host', b'').decode('latin-1')
+        target = exchange.request.target.decode('latin-1')
+        return self.routes.find(host, target)
+
+    def _service(self, route: model.Route) -> model.Service | None:
+        name = routing.choose_service(route, self.generator)
+        return self.state.services.get(name)
+
+    def _refuse(
+        self,
+        exchange: caller_connection.Exchange,
+        headers: dialects.CallerHeaders,
+        status: int,
+        reason: str,
+    ) -> None:
+        logs.event(
+            'refused',
+            request=headers.request,
+            status=status,
+            reason=reason,
+            state_version=self.state.version if self.state else None,
+            known_age_ms=round(self.loop.now_ms() - self.book.known_ms),
+        )
+        outcome = states.Outcome.INVALID
+        retry_after_ms = None
+        if status == 503:
+            outcome = states.Outcome.NOT_RUN
+            retry_after_ms = RETRY_AFTER_MS
+        refusals.refuse(exchange, status, outcome, reason, retry_after_ms)
--- /dev/null
+++ b/eelgrassknot/forwarding/refusals.py
@@ -0,0 +1,66 @@
+"""Answers of our own: refusals and failures, with remedy and outcome."""
+
+import msgspec
+
+from eelgrassknot.forwarding import caller_connection
+from eelgrassknot import states
+
+__all__ = ['refuse']
+
+_TYPES = {
+    400: 'invalid_request',
+    401: 'authentication',
+    404: 'no_route',
+    429: 'rate_limit',
+    502: 'upstream',
+    503: 'unavailable',
+    504: 'timeout',
+}
+_REMEDIES = {
+    400: 'correct the request and send it anew',
+    401: 'send a key that the operators have given out',
+    404: 'use a host and path that the operators have put in force',
+    429: 'repeat after the time in Retry-After',
+    502: 'find out whether it was run before you repeat it',
+    503: 'repeat after the time in Retry-After',
+    504: 'find out whether it was run before you repeat it',
+}
+
+
+def refuse(
+    exchange: caller_connection.Exchange,
+    status: int,
+    outcome: states.Outcome,
+    reason: str,
+    retry_after_ms: float | None = None,
+) -> None:
+    """Answer a request that no upstream has answered.
+
+    Args:
+        exchange: The request.
+        status: Status of the answer.
+        outcome: What became of the work.
+        reason: Short name of the cause.
+        retry_after_ms: When the caller may come again, or None.
+    """
+    if exchange.is_over:
+        return
+    body = msgspec.json.encode(
+        {
+            'error': {
+                'type': _TYPES.get(status, 'error'),
+                'code': reason,
+                'message': f'the request was not served: {reason}',
+                'remedy': _REMEDIES.get(status, 'see the code'),
+                'outcome': outcome.value,
+            }
+        }
+    )
+    headers = [
+        (b'Content-Type', b'application/json'),
+        (b'X-Outcome', outcome.value.encode('ascii')),
+    ]
+    if retry_after_ms is not None:
+        seconds = f'{retry_after_ms / 1000:.2f}'.encode('ascii')
+        headers.append((b'Retry-After', seconds))
+    exchange.respond(status, headers, body)
--- /dev/null
+++ b/eelgrassknot/forwarding/sse.py
@@ -0,0 +1,52 @@
+"""Splits a stream of server-sent events into whole events.
+
+References:
+    WHATWG HTML Living Standard, section 9.2, "Server-sent events".
+"""
+
+import re
+
+__all__ = ['EventSplitter', 'event_index']
+
+_END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?:\r|\n)')
+
+
+class EventSplitter:
+    """Collects bytes and returns the events that are complete.
+
+    Attributes:
+        pending: Bytes of an event that is not complete.
+
+    Example:
+        >>> splitter = EventSplitter()
+        >>> splitter.feed(b'id: 1')
+        []
+        >>> splitter.feed(b'\\n\\nid: 2')
+        [b'id: 1\\n\\n']
+    """
+
+    def __init__(self) -> None:
+        self.pending = b''
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take in bytes and return whole events in order."""
+        self.pending += data
+        events = []
+        start = 0
+        for match in _END.finditer(self.pending):
+            events.append(self.pending[start : match.end()])
+            start = match.end()
+        self.pending = self.pending[start:]
+        return events
+
+
+def event_index(event: bytes) -> int | None:
+    """Return the id of an event if it is a number, else None.
+
+    Example:
+        >>> event_index(b'id: 7\\ndata: x\\n\\n')
+        7
+    """
+    match = _ID.search(event)
+    return None if match is None else int(match.group(1))
--- a/eelgrassknot/logs.py
+++ b/eelgrassknot/logs.py
@@ -4,29 +4,41 @@
 import logging as standard_logging
 import sys
 import time
+import traceback
+import typing
 
 from absl import flags
 from absl import logging
 
-__all__ = ['configure', 'error', 'event', 'format_pairs', 'warning']
+__all__ = [
+    'configure',
+    'error',
+    'event',
+    'exception',
+    'format_pairs',
+    'warning',
+]
+
+TRACE_FRAMES = 4
 
 _PLAIN_CHARACTERS = frozenset(
     'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/,+@'
 )
 
 
-def configure(level: str) -> None:
-    """Send log lines at and above a level to standard error.
+def configure(level: str, stream: typing.TextIO | None = None) -> None:
+    """Send log lines at and above a level to a stream.
 
     Args:
         level: One of ``debug``, ``info``, ``warning`` and ``error``.
+        stream: Where they go; standard error if None.
     """
     # absl warns of each line that comes before its flags are parsed; the
     # daemon takes its settings from a file and has no absl flags.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream or sys.stderr
     handler.setFormatter(_LineFormatter())
     logging.set_verbosity(level)
 
@@ -63,6 +75,22 @@
     logging.error('%s', format_pairs(name, pairs))
 
 
+def exception(name: str, caught: Exception) -> None:
+    """Log an error that no caller handles, with where it was raised.
+
+    Args:
+        name: Name of the event.
+        caught: The error.
+    """
+    frames = traceback.extract_tb(caught.__traceback__)[-TRACE_FRAMES:]
+    where = ' < '.join(
+        f'{frame.name}:{frame.lineno}' for frame in reversed(frames)
+    )
+    logging.error(
+        '%s', format_pairs(name, {'why': repr(caught), 'where': where})
+    )
+
+
 class _LineFormatter(standard_logging.Formatter):
     """Puts the time and the level in front as pairs of their own."""
 
--- /dev/null
+++ b/eelgrassknot/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates names, decides nothing."""
--- /dev/null
+++ b/eelgrassknot/platform/desired_state.py
@@ -0,0 +1,174 @@
+"""Decodes the operators' desired state into the deployment's state."""
+
+import msgspec
+import result
+
+from eelgrassknot import exceptions
+from eelgrassknot.forwarding import model
+from eelgrassknot import ids
+
+__all__ = ['CONFIG_KEY', 'CONFIG_TABLE', 'decode_state']
+
+CONFIG_TABLE = 'op'
+CONFIG_KEY = 'config'
+
+
+class _Struct(msgspec.Struct, rename='camel'):
+    """Fields that are not named here are ignored."""
+
+
+class _Split(_Struct):
+    service: str
+    weight: float
+
+
+class _Route(_Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    # Time for the full worth of an answer; the last one that the platform
+    # calls a service level objective.
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: float | None = None
+
+
+class _Engine(_Struct):
+    batch_slots: int
+    kv_capacity: int
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    # Tokens in one event of a stream.
+    stride: int = 1
+    # Seconds, unlike its neighbours.
+    handle_s: float = 0.0
+
+
+class _Service(_Struct):
+    name: str
+    health_path: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Tenant(_Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Limits(_Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _DesiredState(_Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+def decode_state(
+    document: bytes,
+) -> result.Result[model.DeploymentState, exceptions.MalformedAnswerError]:
+    """Decode a desired state.
+
+    Args:
+        document: The JSON document that the store holds.
+
+    Returns:
+        The state, or an error that names the JSON path at fault.
+    """
+    try:
+        found = msgspec.json.decode(document, type=_DesiredState)
+        return result.Ok(_translate(found))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return result.Err(
+            exceptions.MalformedAnswerError(
+                f'the desired state cannot be read: {error}',
+                'correct the field that the message names and write again',
+            )
+        )
+
+
+def _translate(found: _DesiredState) -> model.DeploymentState:
+    return model.DeploymentState(
+        version=ids.ConfigVersion(found.version),
+        routes=tuple(_route(route) for route in found.routes),
+        services={
+            ids.ServiceName(service.name): _service(service)
+            for service in found.services
+        },
+        accounts=tuple(
+            model.Account(
+                ids.ClientAccountId(tenant.name),
+                tuple(tenant.api_keys),
+                tenant.priority,
+            )
+            for tenant in found.tenants or ()
+        ),
+        limits=model.CallerLimits(
+            header_bytes=found.limits.max_header_bytes,
+            body_bytes=found.limits.max_body_bytes,
+            header_timeout_ms=found.limits.header_timeout_ms,
+            idle_timeout_ms=found.limits.idle_timeout_ms,
+        ),
+        has_accounts=found.tenants is not None,
+    )
+
+
+def _route(found: _Route) -> model.Route:
+    shares = tuple(
+        model.Share(ids.ServiceName(part.service), part.weight)
+        for part in found.split
+    )
+    if not shares and found.service is not None:
+        shares = (model.Share(ids.ServiceName(found.service), 1.0),)
+    return model.Route(
+        name=found.name,
+        host=found.host.lower(),
+        prefix=found.prefix,
+        kind=model.RouteKind(found.kind),
+        shares=shares,
+        timeout_ms=found.timeout_ms,
+        objective_ms=found.slo_ms,
+        priority=found.priority,
+        max_attempts=max(1, found.max_attempts),
+        public=found.public,
+        resumable=found.resumable,
+        gap_objective_ms=found.target_gap_ms,
+    )
+
+
+def _service(found: _Service) -> model.Service:
+    engine = None
+    if found.engine is not None:
+        engine = model.EngineProfile(
+            slots=found.engine.batch_slots,
+            memory_tokens=found.engine.kv_capacity,
+            token_bytes=found.engine.kv_token_bytes,
+            link_mbps=found.engine.link_mbps,
+            can_move=found.engine.moves,
+            can_copy=found.engine.backups,
+            handle_ms=found.engine.handle_s * 1_000.0,
+            event_tokens=max(1, found.engine.stride),
+        )
+    return model.Service(
+        ids.ServiceName(found.name),
+        found.health_path,
+        found.max_conns,
+        engine,
+    )
--- /dev/null
+++ b/eelgrassknot/platform/store.py
@@ -0,0 +1,242 @@
+"""The one client of the users' metadata store: rows and their feed."""
+
+import base64
+import io
+import urllib.parse
+
+import msgspec
+import pycurl
+import result
+
+from eelgrassknot import exceptions
+from eelgrassknot.forwarding import row_store
+
+__all__ = ['Store']
+
+CONNECT_TIMEOUT_MS = 1_000
+"""Longest wait for a connection to the store; ms. One contact bound has
+room for four."""
+READ_TIMEOUT_MS = 2_000
+"""Longest wait for the answer to a short call; ms."""
+FEED_GRACE_MS = 1_500
+"""How much longer than its wait a feed call may take; ms."""
+PAGE_ROWS = 500
+"""Most rows of one answer; the platform's limit."""
+
+_OK = 200
+_CONDITION_FAILED = 412
+_GONE = 410
+_REFUSED = frozenset([429, 503])
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    # base64
+    value: str | None = ''
+    ver: int = 0
+    part: str = ''
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct, rename='camel'):
+    # Newest version of the whole store, not of the rows.
+    ver: int
+    # The store's steady clock, not the time of day.
+    now_ms: float = 0.0
+    rows: list[_Row] = []
+    has_more: bool = False
+
+
+class Store:
+    """Client of the store; each thread takes one of its own.
+
+    Args:
+        address: ``IP:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.base = f'http://{address}'
+        self.handle: pycurl.Curl | None = None
+        self.calls = 0
+
+    def read_table(
+        self, table: str
+    ) -> result.Result[row_store.RowPage, row_store.StoreError]:
+        """Read all rows of a table; the version is that of the first page.
+
+        Args:
+            table: Name of the table.
+        """
+        rows: list[row_store.StoreRow] = []
+        start = ''
+        first: _Answer | None = None
+        while True:
+            query = {'table': table, 'part': '', 'limit': PAGE_ROWS}
+            if start:
+                query['from'] = start
+            found = self._query('/api/rows-get', query, READ_TIMEOUT_MS)
+            if isinstance(found, result.Err):
+                return found
+            answer = found.ok_value
+            first = first or answer
+            rows += [_decode_row(row) for row in answer.rows]
+            if not answer.has_more or not answer.rows:
+                break
+            # The next key in byte order.
+            start = answer.rows[-1].key + '\0'
+        return result.Ok(
+            row_store.RowPage(tuple(rows), first.ver, first.now_ms)
+        )
+
+    def read_feed(
+        self, table: str, after: int, wait_ms: float
+    ) -> result.Result[row_store.RowPage, row_store.StoreError]:
+        """Wait for changes of a table and return them in order.
+
+        Args:
+            table: Name of the table.
+            after: Version up to which changes are known.
+            wait_ms: How long the store may wait for a change.
+        """
+        query = {
+            'table': table,
+            'afterRev': after,
+            'waitMs': int(wait_ms),
+        }
+        found = self._query(
+            '/api/rows-feed', query, int(wait_ms) + FEED_GRACE_MS
+        )
+        return found.map(
+            lambda answer: row_store.RowPage(
+                tuple(_decode_row(row) for row in answer.rows),
+                answer.ver,
+                answer.now_ms,
+            )
+        )
+
+    def write_row(
+        self, row: row_store.RowKey, value: bytes
+    ) -> result.Result[None, row_store.StoreError]:
+        """Write a row whatever it holds; repeating it is harmless."""
+        entry = {
+            'table': row.table,
+            'part': '',
+            'key': row.key,
+            'value': base64.b64encode(value).decode('ascii'),
+        }
+        body = {'expectedRev': [], 'writes': [entry], 'deletes': []}
+        found = self._call(
+            'POST',
+            '/api/rows-tx',
+            msgspec.json.encode(body),
+            READ_TIMEOUT_MS,
+        )
+        return found.map(lambda _: None)
+
+    def _query(
+        self, path: str, query: dict[str, object], timeout_ms: int
+    ) -> result.Result[_Answer, row_store.StoreError]:
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        found = self._call('GET', target, None, timeout_ms)
+        return found.and_then(_decode_answer)
+
+    def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None,
+        timeout_ms: int,
+    ) -> result.Result[bytes, row_store.StoreError]:
+        self.calls += 1
+        if self.handle is None:
+            self.handle = pycurl.Curl()
+        handle = self.handle
+        received = io.BytesIO()
+        handle.setopt(pycurl.URL, self.base + target)
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        handle.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+        handle.setopt(pycurl.WRITEFUNCTION, received.write)
+        handle.setopt(pycurl.HTTPHEADER, ['Content-Type: application/json'])
+        if body is not None:
+            handle.setopt(pycurl.POSTFIELDS, body)
+        else:
+            handle.setopt(pycurl.HTTPGET, 1)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            self._discard_handle()
+            return result.Err(_transport_error(error, body is not None))
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        return _judge_status(status, received.getvalue())
+
+    def _discard_handle(self) -> None:
+        # A connection on which an answer was lost delivers nothing more.
+        self.handle.close()
+        self.handle = None
+
+
+def _transport_error(
+    error: pycurl.error, is_write: bool
+) -> row_store.StoreError:
+    if is_write and error.args[0] != pycurl.E_COULDNT_CONNECT:
+        return exceptions.UnknownOutcomeError(
+            f'no answer to a write: {error.args[1]}',
+            'read the row back before acting on it',
+        )
+    return exceptions.PlatformUnavailableError(
+        f'the store was not reached: {error.args[1]}',
+        'wait for the store; what is known stays in use',
+    )
+
+
+def _judge_status(
+    status: int, body: bytes
+) -> result.Result[bytes, row_store.StoreError]:
+    if status == _OK:
+        return result.Ok(body)
+    if status == _GONE:
+        return result.Err(
+            row_store.HistoryGoneError(
+                'the store has dropped the changes asked for',
+                'read the whole table again',
+            )
+        )
+    if status in _REFUSED:
+        return result.Err(
+            exceptions.PlatformUnavailableError(
+                f'the store refused the call with {status}',
+                'call again later and less often',
+            )
+        )
+    return result.Err(
+        exceptions.MalformedAnswerError(
+            f'the store answered {status}: {body[:80]!r}',
+            'check that the address is the store of this deployment',
+        )
+    )
+
+
+def _decode_answer(
+    body: bytes,
+) -> result.Result[_Answer, row_store.StoreError]:
+    try:
+        return result.Ok(msgspec.json.decode(body, type=_Answer))
+    except msgspec.MsgspecError as error:
+        return result.Err(
+            exceptions.MalformedAnswerError(
+                f'the answer of the store cannot be read: {error}',
+                'check that the address is the store of this deployment',
+            )
+        )
+
+
+def _decode_row(row: _Row) -> row_store.StoreRow:
+    try:
+        value = base64.b64decode(row.value or '', validate=True)
+    except ValueError:
+        # Written by another program; the decoder of its table rejects it.
+        value = b''
+    return row_store.StoreRow(row.key, value, row.ver, row.deleted)
--- /dev/null
+++ b/eelgrassknot/platform/wire.py
@@ -0,0 +1,218 @@
+"""Headers of requests and answers on the users' platform."""
+
+import collections.abc
+
+from eelgrassknot.forwarding import dialect
+from eelgrassknot.forwarding import model
+from eelgrassknot import ids
+
+__all__ = [
+    'READINESS_PATH',
+    'answer_headers',
+    'answered_request',
+    'caller_headers',
+    'forwarded_headers',
+    'instance_of_answer',
+    'is_genuine',
+    'says_not_run',
+]
+
+Headers = collections.abc.Sequence[tuple[bytes, bytes]]
+
+REQUEST_ID = b'request-id'
+# Time the caller will wait from now, in ms; not a point in time.
+DEADLINE = b'request-deadline'
+# Holds the bare API key, without a scheme.
+KEY = b'credential'
+# Name of the client account that holds the key.
+ACCOUNT = b'tenant'
+# Prompt tokens and the *largest* number of output tokens.
+TOKEN_COUNTS = b'token-counts'
+PROMPT_PARTS = b'prompt-prefix'
+OUTPUT_HINT = b'length-hint'
+LAST_EVENT = b'last-event-id'
+# Id of the upstream; no other may run the request.
+EXPECTED_UPSTREAM = b'expect-instance'
+# 0 to 9; 0 is the most urgent, 5 applies without the header.
+ENGINE_PRIORITY = b'request-priority'
+# Where a growing copy of the run's memory is kept, IP:port.
+COPY_TO = b'kv-backup'
+# Where a run's memory is to be taken from, IP:port/handle or /request id.
+CONTINUE_FROM = b'kv-from'
+# Signature of the upstream; an answer without it is not the upstream's.
+SIGNATURE = b'server-stamp'
+# Present on an answer whose request the upstream did not run.
+NOT_RUN = b'not-executed'
+UPSTREAM_ID = b'instance-id'
+
+_HOP_BY_HOP = frozenset(
+    [
+        b'connection',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'content-length',
+        b'upgrade',
+    ]
+)
+_SET_BY_US = frozenset(
+    [
+        KEY,
+        ACCOUNT,
+        DEADLINE,
+        EXPECTED_UPSTREAM,
+        b'expect-version',
+        ENGINE_PRIORITY,
+        COPY_TO,
+        CONTINUE_FROM,
+        b'kv-fetch',
+        b'hold',
+        b'pin-duration',
+    ]
+)
+MISDIRECTED = 421
+READINESS_PATH = b'/api/readiness'
+
+
+def caller_headers(headers: Headers) -> dialect.CallerHeaders:
+    """Decode the headers of a caller's request.
+
+    Args:
+        headers: Pairs of name and value.
+    """
+    found = _lowered(headers)
+    return dialect.CallerHeaders(
+        request=_request_id(found.get(REQUEST_ID)),
+        key=_text(found.get(KEY)),
+        deadline_ms=_number(found.get(DEADLINE)),
+        last_event=_integer(found.get(LAST_EVENT)),
+        generation=_generation(found),
+    )
+
+
+def forwarded_headers(
+    raw_headers: Headers, facts: dialect.ForwardingFacts
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with which a request goes to an upstream.
+
+    Args:
+        raw_headers: The caller's headers in their own spelling.
+        facts: What is told beside them.
+    """
+    named = set()
+    for name, value in raw_headers:
+        if name.lower() == b'connection':
+            named.update(part.strip().lower() for part in value.split(b','))
+    dropped = _HOP_BY_HOP | _SET_BY_US | named - {b'host'}
+    if facts.last_event is not None:
+        dropped = dropped | {LAST_EVENT}
+    kept = [
+        (name, value)
+        for name, value in raw_headers
+        if name.lower() not in dropped
+    ]
+    remaining = max(1, int(facts.remaining_ms))
+    added = [
+        (b'Request-Deadline', str(remaining)),
+        (b'Expect-Instance', facts.upstream),
+        (b'Tenant', facts.account),
+        (b'Request-Priority', facts.engine_priority),
+        (b'Kv-Backup', facts.copy_to),
+        (b'Kv-From', facts.continue_from),
+        (b'Last-Event-Id', facts.last_event),
+    ]
+    kept += [
+        (name, str(value).encode('latin-1'))
+        for name, value in added
+        if value is not None
+    ]
+    return kept
+
+
+def answer_headers(raw_headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an upstream's answer that the caller gets."""
+    return [
+        (name, value)
+        for name, value in raw_headers
+        if name.lower() not in _HOP_BY_HOP
+    ]
+
+
+def answered_request(headers: Headers) -> ids.RequestId | None:
+    """Return the request that an answer says it belongs to."""
+    return _request_id(_lowered(headers).get(REQUEST_ID))
+
+
+def is_genuine(headers: Headers) -> bool:
+    """Return whether an answer bears the signature of an upstream."""
+    return SIGNATURE in _lowered(headers)
+
+
+def says_not_run(status: int, headers: Headers) -> bool:
+    """Return whether the upstream promises that it did not run it."""
+    return status == MISDIRECTED or NOT_RUN in _lowered(headers)
+
+
+def instance_of_answer(headers: Headers) -> ids.UpstreamId | None:
+    """Return the upstream that an answer says it comes from."""
+    found = _text(_lowered(headers).get(UPSTREAM_ID))
+    return None if found is None else ids.UpstreamId(found)
+
+
+def _lowered(headers: Headers) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in headers}
+
+
+def _request_id(value: bytes | None) -> ids.RequestId | None:
+    found = _text(value)
+    return None if found is None else ids.RequestId(found)
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode('latin-1').strip()
+
+
+def _number(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else float(value)
+    except ValueError:
+        return None
+
+
+def _integer(value: bytes | None) -> int | None:
+    try:
+        return None if value is None else int(value)
+    except ValueError:
+        return None
+
+
+def _generation(
+    found: dict[bytes, bytes],
+) -> model.GenerationProfile | None:
+    counts = _text(found.get(TOKEN_COUNTS))
+    if counts is None:
+        return None
+    prompt, _, output = counts.partition(',')
+    try:
+        return model.GenerationProfile(
+            prompt_tokens=int(prompt),
+            max_output_tokens=int(output),
+            output_hint=_integer(found.get(OUTPUT_HINT)),
+            parts=_parts(_text(found.get(PROMPT_PARTS)) or ''),
+        )
+    except ValueError:
+        # An opaque request may use the header in another way.
+        return None
+
+
+def _parts(listed: str) -> tuple[model.PromptPart, ...]:
+    parts = []
+    for entry in filter(None, listed.split(',')):
+        name, _, tokens = entry.strip().partition(':')
+        parts.append(model.PromptPart(name, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -0,0 +1,152 @@
+"""Places a run on one engine and the copy of its memory on another.
+
+The engine is the one with the least expected delay; the copy goes where
+the least memory is taken, in the same region, since the link between
+regions would need minutes for it. A run that is worth a copy prefers a
+region in which one can be kept.
+"""
+
+import collections.abc
+import dataclasses
+
+from eelgrassknot import ids
+from eelgrassknot.policy import commitments
+
+__all__ = ['Engine', 'Need', 'choose_copy', 'choose_engine']
+
+PREFILL_TOKENS_PER_MS = 14.0
+"""Prompt tokens that an engine reads in a ms; from the users' sheets."""
+RUN_DELAY_MS = 15.0
+"""Delay that each run adds to the others at its engine; ms. A step grows
+by 0.12 ms a run, and a long answer takes some hundred steps."""
+FAR_DELAY_MS = 90.0
+"""Delay of the round trip to another region; ms."""
+WARM_UP_SHARE = 0.3
+"""Part of the remaining warm-up that is counted as delay."""
+NO_COPY_DELAY_MS = 1_500.0
+"""Delay that weighs as much as doing without a copy; ms."""
+OTHER_ZONE_SHARE = 0.05
+"""Part of the memory that weighs as much as a copy in another zone."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """An engine that may be given work.
+
+    Attributes:
+        memory_tokens: Tokens that its memory holds.
+        slots: Runs that it takes at once.
+        warm_up_ms: How much longer it is slow after its start.
+    """
+
+    upstream: ids.UpstreamId
+    region: ids.RegionId
+    availability_zone: ids.AvailabilityZoneId
+    memory_tokens: int
+    slots: int
+    warm_up_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a run needs.
+
+    Attributes:
+        region: Region of the VM that asks.
+        wants_copy: Whether a copy of its memory is to be kept.
+    """
+
+    region: ids.RegionId
+    prompt_tokens: int
+    output_tokens: int
+    wants_copy: bool
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the run needs at its end."""
+        return self.prompt_tokens + self.output_tokens
+
+
+Sums = collections.abc.Mapping[ids.UpstreamId, commitments.EngineSums]
+_NONE = commitments.EngineSums()
+
+
+def choose_engine(
+    need: Need, engines: collections.abc.Sequence[Engine], sums: Sums
+) -> Engine | None:
+    """Return the engine for a run, or None while all are full.
+
+    Args:
+        need: What the run needs.
+        engines: Engines that may be given work.
+        sums: What is known to run at each.
+    """
+    fitting = [e for e in engines if fits(need.tokens, e, sums)]
+    if not fitting:
+        return None
+    return min(
+        fitting, key=lambda engine: _delay_ms(need, engine, engines, sums)
+    )
+
+
+def choose_copy(
+    tokens: int,
+    primary: Engine,
+    engines: collections.abc.Sequence[Engine],
+    sums: Sums,
+) -> Engine | None:
+    """Return where the copy of a run is kept, or None if nowhere.
+
+    Args:
+        tokens: Memory that the run needs at its end.
+        primary: Where it runs.
+        engines: Engines that may be given work.
+        sums: What is known to run at each.
+    """
+    fitting = [
+        engine
+        for engine in engines
+        if engine.upstream != primary.upstream
+        and engine.region == primary.region
+        and fits(tokens, engine, sums)
+    ]
+    if not fitting:
+        return None
+
+    def taken(engine: Engine) -> float:
+        used = sums.get(engine.upstream, _NONE).tokens
+        share = used / engine.memory_tokens
+        if engine.availability_zone != primary.availability_zone:
+            share += OTHER_ZONE_SHARE
+        return share
+
+    return min(fitting, key=taken)
+
+
+def fits(tokens: int, engine: Engine, sums: Sums) -> bool:
+    """Return whether an engine has room for a run."""
+    present = sums.get(engine.upstream, _NONE)
+    if present.runs >= engine.slots:
+        return False
+    # A run larger than the whole memory is the engine's to reject.
+    wanted = min(tokens, engine.memory_tokens)
+    return present.tokens + wanted <= engine.memory_tokens
+
+
+def _delay_ms(
+    need: Need,
+    engine: Engine,
+    engines: collections.abc.Sequence[Engine],
+    sums: Sums,
+) -> float:
+    present = sums.get(engine.upstream, _NONE)
+    delay_ms = present.unread_tokens / PREFILL_TOKENS_PER_MS
+    delay_ms += present.runs * RUN_DELAY_MS
+    delay_ms += engine.warm_up_ms * WARM_UP_SHARE
+    if engine.region != need.region:
+        delay_ms += FAR_DELAY_MS
+    if need.wants_copy and (
+        choose_copy(need.tokens, engine, engines, sums) is None
+    ):
+        delay_ms += NO_COPY_DELAY_MS
+    return delay_ms
--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -14,16 +14,26 @@
 class RetryBudget:
     """Allowance of retries that requests earn.
 
+    Args:
+        retries_per_request: What one request earns.
+        max_saved: Retries that are saved at most.
+
     Attributes:
         saved: Retries that may be made now.
     """
 
-    def __init__(self) -> None:
-        self.saved = MAX_SAVED_RETRIES
+    def __init__(
+        self,
+        retries_per_request: float = RETRIES_PER_REQUEST,
+        max_saved: float = MAX_SAVED_RETRIES,
+    ) -> None:
+        self.retries_per_request = retries_per_request
+        self.max_saved = max_saved
+        self.saved = max_saved
 
     def earn(self) -> None:
         """Count a first attempt."""
-        self.saved = min(MAX_SAVED_RETRIES, self.saved + RETRIES_PER_REQUEST)
+        self.saved = min(self.max_saved, self.saved + self.retries_per_request)
 
     def spend(self) -> bool:
         """Return whether a retry may be made, and count it if so."""
--- /dev/null
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -0,0 +1,423 @@
+"""Life of one forwarded stream, which may outlive its upstream.
+
+A stream that may not be resumed goes on at another engine only from the
+memory of its own run: from a copy that grew while it ran, or from a move
+of the memory before its engine leaves. A resumable stream may also be run
+anew after its last event.
+
+References:
+    Sun et al., "Llumnix: Dynamic Scheduling for Large Language Model
+    Serving", OSDI 2024 (live migration of running requests).
+"""
+
+import dataclasses
+import enum
+
+from eelgrassknot import ids
+from eelgrassknot.kernel import events as kernel_events
+from eelgrassknot.requests import stream_messages as messages
+from eelgrassknot import states
+
+__all__ = ['ForwardedStream']
+
+COPY_GROWTH_MS = 350.0
+"""A copy is taken for usable so long after the first event; ms. Engines
+send copies several times a second."""
+SILENCE_MS = 700.0
+"""Events that stay away for so long are taken for a lost upstream, if
+there is a copy to go on from; ms."""
+SWITCH_RETRY_MS = 500.0
+"""Pause before another try to leave an upstream; ms."""
+MAX_PLACEMENTS = 6
+"""Upstreams that are asked for one stream, those that refused included."""
+NEVER_MS = float('inf')
+
+
+@dataclasses.dataclass
+class _Run:
+    """One attempt.
+
+    Attributes:
+        copy: Engine that keeps a copy of the run.
+        first_event_ms: When its first event came.
+        heard_ms: When it was last heard of.
+    """
+
+    attempt: int
+    upstream: kernel_events.UpstreamInfo
+    copy: kernel_events.UpstreamInfo | None = None
+    headed: bool = False
+    first_event_ms: float | None = None
+    heard_ms: float = 0.0
+
+
+class _Stage(enum.Enum):
+    PLACING = 'placing'
+    RUNNING = 'running'
+    ENDED = 'ended'
+
+
+class ForwardedStream:
+    """Decides how one stream goes on.
+
+    Args:
+        request: Identifier of the request.
+        rules: What may be done with the stream.
+        deadline_ms: Time by which it has to end.
+        last_event: Last event that the caller had before, or None.
+
+    Attributes:
+        run: The attempt whose events are forwarded.
+        successor: The attempt that is to take over from it.
+        last_event: Last event that was forwarded, or None.
+        answered: Whether the head of an answer was forwarded.
+        may_have_run: Whether a byte of any attempt may have left.
+        takeovers: How often another upstream went on with the stream.
+    """
+
+    def __init__(
+        self,
+        request: ids.RequestId,
+        rules: messages.StreamRules,
+        deadline_ms: float,
+        last_event: int | None = None,
+    ) -> None:
+        self.request = request
+        self.rules = rules
+        self.deadline_ms = deadline_ms
+        self.last_event = last_event
+        self.stage = _Stage.PLACING
+        self.run: _Run | None = None
+        self.successor: _Run | None = None
+        self.leaving: set[str] = set()
+        self.failed: set[str] = set()
+        self.attempt = 0
+        self.runs_begun = 0
+        self.answered = False
+        self.may_have_run = False
+        self.moving = False
+        self.switch_at_ms = NEVER_MS
+        self.takeovers = 0
+
+    def handle(
+        self, event: messages.Event, now_ms: float
+    ) -> list[messages.Action]:
+        """Take in one event and return what is to be done.
+
+        Args:
+            event: What happened.
+            now_ms: The present time.
+        """
+        if self.stage is _Stage.ENDED:
+            return []
+        match event:
+            case messages.Placed(upstream):
+                return self._send_anew(upstream, now_ms)
+            case messages.CopyPlaced(attempt, upstream):
+                run = self._find(attempt)
+                if run is not None:
+                    run.copy = upstream
+                return []
+            case messages.Refused(reason, retry_after_ms):
+                return self._give_up(reason.value, retry_after_ms)
+            case messages.Headed(attempt, accepted):
+                return self._headed(attempt, accepted, now_ms)
+            case messages.Received(attempt, index, data):
+                return self._received(attempt, index, data, now_ms)
+            case messages.Ended(attempt):
+                return self._ended(attempt)
+            case messages.Broken(attempt, bytes_left):
+                return self._broken(attempt, bytes_left, now_ms)
+            case messages.NotRun(attempt):
+                return self._not_run(attempt, now_ms)
+            case messages.UpstreamLeaving(upstream):
+                return self._upstream_leaving(upstream, now_ms)
+            case messages.MoveEnded():
+                return self._move_ended(event, now_ms)
+            case messages.Tick():
+                return self._tick(now_ms)
+        return []
+
+    def wake_ms(self) -> float:
+        """Return the time at which a tick is needed next."""
+        wake_ms = min(self.deadline_ms, self.switch_at_ms)
+        if self._can_use_copy() and self.successor is None:
+            wake_ms = min(wake_ms, self.run.heard_ms + SILENCE_MS)
+        return wake_ms
+
+    # Sending
+
+    def _send_anew(
+        self, upstream: kernel_events.UpstreamInfo, now_ms: float
+    ) -> list[messages.Action]:
+        self.stage = _Stage.RUNNING
+        self.run = self._next_run(upstream, now_ms)
+        self.runs_begun += 1
+        wants_copy = self.rules.can_copy and not self.rules.resumable
+        return [
+            messages.Send(
+                self.run.attempt,
+                upstream,
+                None,
+                self.last_event,
+                wants_copy,
+                is_repeat=self.attempt > 1,
+            )
+        ]
+
+    def _send_successor(
+        self,
+        upstream: kernel_events.UpstreamInfo,
+        continue_from: str,
+        now_ms: float,
+    ) -> list[messages.Action]:
+        self.successor = self._next_run(upstream, now_ms)
+        return [
+            messages.Send(
+                self.successor.attempt,
+                upstream,
+                continue_from,
+                self.last_event,
+                wants_copy=self.rules.can_copy,
+                is_repeat=True,
+            )
+        ]
+
+    def _next_run(
+        self, upstream: kernel_events.UpstreamInfo, now_ms: float
+    ) -> _Run:
+        self.attempt += 1
+        return _Run(self.attempt, upstream, heard_ms=now_ms)
+
+    def _continue_at_copy(self, now_ms: float) -> list[messages.Action]:
+        holder = self.run.copy
+        source = f'{holder.address}/{self.request}'
+        return self._send_successor(holder, source, now_ms)
+
+    # Answers
+
+    def _headed(
+        self, attempt: int, accepted: bool, now_ms: float
+    ) -> list[messages.Action]:
+        self.may_have_run = True
+        run = self._find(attempt)
+        if run is None:
+            return []
+        if not accepted:
+            if run is self.successor:
+                self.successor = None
+                return [
+                    messages.Cancel(attempt),
+                    *self._after_lost_successor(now_ms),
+                ]
+            if self.answered:
+                cancel = messages.Cancel(attempt)
+                return [cancel, *self._end_broken('not_resumed')]
+            self.stage = _Stage.ENDED
+            return [messages.StartAnswer(attempt)]
+        run.headed = True
+        run.heard_ms = now_ms
+        actions: list[messages.Action] = []
+        if run is self.successor:
+            actions += self._take_over()
+        if not self.answered:
+            self.answered = True
+            actions.append(messages.StartAnswer(attempt))
+        return actions
+
+    def _take_over(self) -> list[messages.Action]:
+        old, self.run = self.run, self.successor
+        self.successor = None
+        self.moving = False
+        self.switch_at_ms = NEVER_MS
+        self.takeovers += 1
+        return [messages.Cancel(old.attempt)]
+
+    def _received(
+        self, attempt: int, index: int | None, data: bytes, now_ms: float
+    ) -> list[messages.Action]:
+        if self.run is None or attempt != self.run.attempt:
+            return []
+        self.run.heard_ms = now_ms
+        if self.run.first_event_ms is None:
+            self.run.first_event_ms = now_ms
+        if index is not None and self.last_event is not None:
+            if index <= self.last_event:
+                return []
+            if index != self.last_event + 1:
+                cancel = messages.Cancel(attempt)
+                return [cancel, *self._end_broken('event_missing')]
+        if index is not None:
+            self.last_event = index
+        return [messages.Forward(data)]
+
+    def _ended(self, attempt: int) -> list[messages.Action]:
+        if self.run is None or attempt != self.run.attempt:
+            return []
+        self.stage = _Stage.ENDED
+        actions: list[messages.Action] = [messages.Finish()]
+        if self.successor is not None:
+            actions.append(messages.Cancel(self.successor.attempt))
+        return actions
+
+    # Losses
+
+    def _broken(
+        self, attempt: int, bytes_left: bool, now_ms: float
+    ) -> list[messages.Action]:
+        self.may_have_run = self.may_have_run or bytes_left
+        run = self._find(attempt)
+        if run is None:
+            return []
+        self.failed.add(run.upstream.upstream)
+        if run is self.successor:
+            self.successor = None
+            return self._after_lost_successor(now_ms)
+        if self.successor is not None:
+            # The successor goes on from here, whatever became of this.
+            self.run = dataclasses.replace(run, copy=None)
+            return []
+        if not bytes_left:
+            return self._place_again()
+        return self._after_lost_run(now_ms)
+
+    def _after_lost_run(self, now_ms: float) -> list[messages.Action]:
+        if self.moving:
+            # The source may have stopped for the move, whose end is near.
+            return []
+        if self.run.copy is not None:
+            return self._continue_at_copy(now_ms)
+        return self._run_anew()
+
+    def _run_anew(self) -> list[messages.Action]:
+        if self.rules.resumable and self.runs_begun < self.rules.max_attempts:
+            return self._place_again()
+        return self._give_up('upstream_lost', None)
+
+    def _after_lost_successor(self, now_ms: float) -> list[messages.Action]:
+        self.moving = False
+        if self.run.upstream.upstream in self.failed:
+            return self._run_anew()
+        self.run.copy = None
+        self.switch_at_ms = now_ms
+        return self._tick(now_ms)
+
+    def _not_run(self, attempt: int, now_ms: float) -> list[messages.Action]:
+        run = self._find(attempt)
+        if run is None:
+            return []
+        if run is self.successor:
+            self.successor = None
+            return self._after_lost_successor(now_ms)
+        self.failed.add(run.upstream.upstream)
+        self.runs_begun -= 1
+        return self._place_again()
+
+    def _place_again(self) -> list[messages.Action]:
+        if self.attempt >= MAX_PLACEMENTS:
+            return self._give_up('upstream_unreachable', None)
+        self.stage = _Stage.PLACING
+        self.run = None
+        return [messages.Place(frozenset(self.failed))]
+
+    # Leaving an upstream
+
+    def _upstream_leaving(
+        self, upstream: str, now_ms: float
+    ) -> list[messages.Action]:
+        self.leaving.add(upstream)
+        run = self.run
+        if run is None or self.rules.resumable:
+            return []
+        if run.copy is not None and run.copy.upstream == upstream:
+            run.copy = None
+        if run.upstream.upstream != upstream:
+            return []
+        self.switch_at_ms = now_ms
+        return self._tick(now_ms)
+
+    def _tick(self, now_ms: float) -> list[messages.Action]:
+        if now_ms >= self.deadline_ms:
+            return self._give_up('deadline', None)
+        if self.run is None or self.successor is not None or self.moving:
+            return []
+        if now_ms >= self.switch_at_ms:
+            return self._leave_upstream(now_ms)
+        silent = now_ms >= self.run.heard_ms + SILENCE_MS
+        if silent and self._can_use_copy():
+            self.run.heard_ms = now_ms
+            return self._continue_at_copy(now_ms)
+        return []
+
+    def _leave_upstream(self, now_ms: float) -> list[messages.Action]:
+        run = self.run
+        if run.first_event_ms is None:
+            self.switch_at_ms = now_ms + SWITCH_RETRY_MS / 5
+            return []
+        usable_ms = run.first_event_ms + COPY_GROWTH_MS
+        if run.copy is not None and now_ms < usable_ms:
+            self.switch_at_ms = usable_ms
+            return []
+        self.switch_at_ms = NEVER_MS
+        if run.copy is not None:
+            return self._continue_at_copy(now_ms)
+        if self.rules.can_move:
+            self.moving = True
+            return [messages.PlaceMove(run.upstream)]
+        return []
+
+    def _move_ended(
+        self, event: messages.MoveEnded, now_ms: float
+    ) -> list[messages.Action]:
+        if not self.moving or self.run is None:
+            return []
+        source = self.run.upstream
+        if event.target is None:
+            self.moving = False
+            if source.upstream in self.failed:
+                return self._run_anew()
+            self.switch_at_ms = now_ms + SWITCH_RETRY_MS
+            return []
+        if not event.stopped:
+            return [messages.Move(source, event.target, stop=True)]
+        self.moving = False
+        name = f'{source.address}/{event.handle}'
+        # The source has stopped, so it is of no use from here on.
+        self.failed.add(source.upstream)
+        return self._send_successor(event.target, name, now_ms)
+
+    # Ends
+
+    def _give_up(
+        self, reason: str, retry_after_ms: float | None
+    ) -> list[messages.Action]:
+        cancels = [
+            messages.Cancel(run.attempt)
+            for run in (self.run, self.successor)
+            if run is not None
+        ]
+        if self.answered:
+            return [*cancels, *self._end_broken(reason)]
+        self.stage = _Stage.ENDED
+        outcome = states.Outcome.NOT_RUN
+        if self.may_have_run or cancels:
+            outcome = states.Outcome.UNKNOWN
+        return [*cancels, messages.Fail(outcome, reason, retry_after_ms)]
+
+    def _end_broken(self, reason: str) -> list[messages.Action]:
+        self.stage = _Stage.ENDED
+        return [messages.BreakOff(reason)]
+
+    def _can_use_copy(self) -> bool:
+        run = self.run
+        return (
+            run is not None
+            and run.copy is not None
+            and run.first_event_ms is not None
+        )
+
+    def _find(self, attempt: int) -> _Run | None:
+        for run in (self.run, self.successor):
+            if run is not None and run.attempt == attempt:
+                return run
+        return None
--- a/eelgrassknot/requests/plain_call.py
+++ b/eelgrassknot/requests/plain_call.py
@@ -1,5 +1,6 @@
 """Life of one call to a plain service."""
 
+import dataclasses
 import enum
 import random
 
@@ -9,7 +10,7 @@
 from eelgrassknot.requests import plain_messages as messages
 from eelgrassknot import states
 
-__all__ = ['PlainCall', 'outcome_of']
+__all__ = ['AttemptRules', 'PlainCall', 'outcome_of']
 
 NEVER_MS = float('inf')
 MAX_ATTEMPTS = 4
@@ -19,6 +20,26 @@
 SERVER_ERROR_STATUS = 500
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptRules:
+    """How often a call may be tried.
+
+    Attributes:
+        max_attempts: Upstreams that may run an idempotent call.
+        max_placements: Upstreams that may be asked at all, those that
+            refused it or were not reached included.
+        retried_statuses: Answers after which an idempotent call is tried
+            elsewhere.
+    """
+
+    max_attempts: int = MAX_ATTEMPTS
+    max_placements: int = MAX_ATTEMPTS
+    retried_statuses: frozenset[int] = RETRIED_STATUSES
+
+
+DEFAULT_RULES = AttemptRules()
+
+
 class _Stage(enum.Enum):
     PLACING = 'placing'
     SENDING = 'sending'
@@ -38,6 +59,7 @@
         call_class: How often the call may run.
         deadline_ms: Time by which the call has to end.
         generator: Source of random delays.
+        rules: How often it may be tried.
 
     Attributes:
         may_have_run: Whether a byte of any attempt may have left.
@@ -49,8 +71,10 @@
         call_class: messages.CallClass,
         deadline_ms: float,
         generator: random.Random,
+        rules: AttemptRules = DEFAULT_RULES,
     ) -> None:
         self.request = request
+        self.rules = rules
         self.call_class = call_class
         self.deadline_ms = deadline_ms
         self.jitter = backoff.DecorrelatedJitter(generator)
@@ -58,9 +82,12 @@
         self.upstream: kernel_events.UpstreamInfo | None = None
         self.crosses_region = False
         self.attempt = 0
+        self.not_run_count = 0
         self.may_have_run = False
         self.retry_at_ms = NEVER_MS
-        self.last_answer: messages.Answer | None = None
+        self.last_answer: messages.Answer | messages.ForwardedAnswer | None = (
+            None
+        )
         self.outcome: messages.EndCall | None = None
 
     def handle(
@@ -90,6 +117,10 @@
                 if attempt != self.attempt:
                     return []
                 return self._failed(bytes_left, now_ms)
+            case messages.NotRun(attempt):
+                if attempt != self.attempt:
+                    return []
+                return self._not_run()
         return []
 
     def wake_ms(self) -> float:
@@ -112,7 +143,7 @@
         self.attempt += 1
         self.stage = _Stage.SENDING
         timeout_ms = remaining_ms
-        if self.is_repeatable() and self.attempt < MAX_ATTEMPTS:
+        if self._may_run_again():
             # Leaves time for another attempt if this connection is dead.
             share_ms = max(MIN_ATTEMPT_MS, ATTEMPT_SHARE * remaining_ms)
             timeout_ms = min(remaining_ms, share_ms)
@@ -120,18 +151,23 @@
         return [messages.Send(self.attempt, upstream, timeout_ms, proven)]
 
     def _answered(
-        self, answer: messages.Answer, now_ms: float
+        self, answer: messages.Answer | messages.ForwardedAnswer, now_ms: float
     ) -> list[messages.Action]:
         self.may_have_run = True
         if answer.request is not None and answer.request != self.request:
             # Another caller's answer; our own may come anywhere or never.
             return self._retry_or_stop('crossed_answer', now_ms)
-        if self.is_repeatable() and answer.status in RETRIED_STATUSES:
+        if (
+            self.is_repeatable()
+            and answer.status in self.rules.retried_statuses
+        ):
             self.last_answer = answer
             return self._retry_or_stop(f'status_{answer.status}', now_ms)
         return [self._pass_on(answer)]
 
-    def _pass_on(self, answer: messages.Answer) -> messages.EndCall:
+    def _pass_on(
+        self, answer: messages.Answer | messages.ForwardedAnswer
+    ) -> messages.EndCall:
         reason = f'status_{answer.status}'
         end = messages.EndCall(outcome_of(answer), reason, answer)
         return self._end(end)
@@ -142,14 +178,22 @@
         if bytes_left:
             self.may_have_run = True
             return self._retry_or_stop('no_answer', now_ms)
-        if self.attempt >= MAX_ATTEMPTS:
+        return self._not_run()
+
+    def _not_run(self) -> list[messages.Action]:
+        self.not_run_count += 1
+        if self.attempt >= self.rules.max_placements:
             return self._stop('upstream_unreachable')
         return self._place_again()
 
+    def _may_run_again(self) -> bool:
+        ran = self.attempt - self.not_run_count
+        return self.is_repeatable() and ran < self.rules.max_attempts
+
     def _retry_or_stop(
         self, reason: str, now_ms: float
     ) -> list[messages.Action]:
-        if not self.is_repeatable() or self.attempt >= MAX_ATTEMPTS:
+        if not self._may_run_again():
             return self._stop(reason)
         self.retry_at_ms = now_ms + self.jitter.next_ms()
         if self.retry_at_ms >= self.deadline_ms:
@@ -193,7 +237,9 @@
         return outcome
 
 
-def outcome_of(answer: messages.Answer) -> states.Outcome:
+def outcome_of(
+    answer: messages.Answer | messages.ForwardedAnswer,
+) -> states.Outcome:
     """Return the outcome that an upstream's answer stands for.
 
     A stored answer that a repeat is given has the same one.
--- a/eelgrassknot/requests/plain_messages.py
+++ b/eelgrassknot/requests/plain_messages.py
@@ -17,6 +17,8 @@
     'CallClass',
     'EndCall',
     'Event',
+    'ForwardedAnswer',
+    'NotRun',
     'Place',
     'Placed',
     'Refused',
@@ -46,6 +48,21 @@
     request: ids.RequestId | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedAnswer:
+    """An upstream's answer that goes to the caller byte for byte.
+
+    Attributes:
+        request: Request that the upstream says it answers, or None.
+        headers: Headers in the upstream's own spelling.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    request: ids.RequestId | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """The dispatcher chose an upstream."""
@@ -67,7 +84,7 @@
     """An attempt was answered."""
 
     attempt: int
-    answer: Answer
+    answer: Answer | ForwardedAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,12 +99,19 @@
     bytes_left: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The upstream promised that it did not and will not run an attempt."""
+
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
 
 
-Event = Placed | Refused | Answered | AttemptFailed | Tick
+Event = Placed | Refused | Answered | AttemptFailed | NotRun | Tick
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +143,7 @@
 
     outcome: states.Outcome
     reason: str
-    answer: Answer | None = None
+    answer: Answer | ForwardedAnswer | None = None
     retry_after_ms: float | None = None
 
 
