Streams are told of leaving engines after the list is replaced

Cause: a stream that left an engine chose the same engine for its new copy, since it was told before the engines in use had been replaced.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -259,7 +259,10 @@
         )
 
     def _leaving(self, upstream: str) -> None:
-        self.desk.upstream_leaving(upstream)
+        # In a later round, when no new work is placed there any more.
+        self.loop.call_soon(
+            functools.partial(self.desk.upstream_leaving, upstream)
+        )
 
     def _step(self) -> None:
         before = len(self.directory.upstreams)
