--- a/eelgrassknot/forwarding/loop.py
+++ b/eelgrassknot/forwarding/loop.py
@@ -118,14 +118,21 @@
     def _round(self) -> None:
         for key, mask in self.selector.select(self._wait_s()):
             self._guard(lambda key=key, mask=mask: key.data(mask))
-        now_ms = self.now_ms()
-        while self.timers and self.timers[0][0] <= now_ms:
-            timer = heapq.heappop(self.timers)[2]
+        for timer in self._due_timers():
             if not timer.cancelled:
                 self._guard(timer.callback)
         for _ in range(len(self.incoming)):
             self._guard(self.incoming.popleft())
 
+    def _due_timers(self) -> list[Timer]:
+        # Taken out at once: a timer that sets itself anew waits for the
+        # next round, so that sockets get their turn.
+        now_ms = self.now_ms()
+        due = []
+        while self.timers and self.timers[0][0] <= now_ms:
+            due.append(heapq.heappop(self.timers)[2])
+        return due
+
     def _wait_s(self) -> float:
         if self.incoming:
             return 0.0
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -140,9 +140,11 @@
 
     def wake_ms(self) -> float:
         """Return the time at which a tick is needed next."""
-        wake_ms = min(self.deadline_ms, self.switch_at_ms)
-        if self._can_use_copy() and self.successor is None:
-            wake_ms = min(wake_ms, self.run.heard_ms + SILENCE_MS)
+        wake_ms = self.deadline_ms
+        if self._is_settled():
+            wake_ms = min(wake_ms, self.switch_at_ms)
+            if self._can_use_copy():
+                wake_ms = min(wake_ms, self.run.heard_ms + SILENCE_MS)
         return wake_ms
 
     # Sending
@@ -339,7 +341,7 @@
     def _tick(self, now_ms: float) -> list[messages.Action]:
         if now_ms >= self.deadline_ms:
             return self._give_up('deadline', None)
-        if self.run is None or self.successor is not None or self.moving:
+        if not self._is_settled():
             return []
         if now_ms >= self.switch_at_ms:
             return self._leave_upstream(now_ms)
@@ -408,6 +410,14 @@
         self.stage = _Stage.ENDED
         return [messages.BreakOff(reason)]
 
+    def _is_settled(self) -> bool:
+        """Return whether one attempt runs and no other is on its way."""
+        return (
+            self.run is not None
+            and self.successor is None
+            and not self.moving
+        )
+
     def _can_use_copy(self) -> bool:
         run = self.run
         return (
