Peers tell each other what they placed; one VM a zone watches the store

Cause: each VM placed by its own requests alone, so that hot engines queued prompts for seconds and copies found no room; each VM watched the store itself. Change: peers found by rows, linked by the existing peer link; sums of runs and copies by engine, and marks of how far each table is known; a table that a peer knows better is asked for.

--- a/eelgrassknot/coordination/peer_link.py
+++ b/eelgrassknot/coordination/peer_link.py
@@ -38,7 +38,8 @@
 
 Handler = collections.abc.Callable[[messages.Envelope], None]
 QueryHandler = collections.abc.Callable[
-    [ids.VmId, object], messages.ConfigReply | messages.OwnerReply
+    [ids.VmId, object],
+    messages.ConfigReply | messages.OwnerReply | messages.RowsReply,
 ]
 
 
@@ -51,6 +52,8 @@
         listen: ``IP:port`` to bind; port 0 lets the system choose.
         codec: Signs and checks the messages.
         clock: Time for the replay guard.
+        gather_ms: How long messages are gathered before they are taken
+            in together, in milliseconds.
 
     Attributes:
         address: Address that is bound, once started.
@@ -70,7 +73,9 @@
         listen: str,
         codec: peer_codec.PeerCodec,
         clock: clocks.Clock,
+        gather_ms: float = GATHER_MS,
     ) -> None:
+        self.gather_ms = gather_ms
         self.listen = listen
         self.codec = codec
         self.clock = clock
@@ -257,10 +262,10 @@
         while not self.stopped.is_set():
             if not self.puller.poll(POLL_MS):
                 continue
-            if not self.waiting:
+            if not self.waiting and self.gather_ms:
                 # Heartbeats come one by one; taking in several at once
                 # costs less than a wake-up for each.
-                self.stopped.wait(GATHER_MS / clocks.MS_PER_SECOND)
+                self.stopped.wait(self.gather_ms / clocks.MS_PER_SECOND)
             self._drain()
         self.puller.close(linger=0)
 
--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -15,6 +15,8 @@
     'ConfigFetch',
     'ConfigReply',
     'DemandEntry',
+    'EngineEntry',
+    'EntryNews',
     'Envelope',
     'Heartbeat',
     'HeldEntry',
@@ -25,10 +27,14 @@
     'Message',
     'OwnerQuery',
     'OwnerReply',
-    'ReaderTaken',
     'Query',
+    'ReaderTaken',
     'Reply',
     'Request',
+    'RowEntry',
+    'RowsFetch',
+    'RowsReply',
+    'TableMark',
     'ZoneLoad',
 ]
 
@@ -181,7 +187,78 @@
     by: ids.VmId
 
 
-Query = ConfigFetch | OwnerQuery | ListFetch
+class EngineEntry(msgspec.Struct, array_like=True, frozen=True):
+    """Totals of the sender's runs at one engine.
+
+    Attributes:
+        tokens: Memory that they and the copies kept there take.
+        unread_tokens: Prompt tokens of those without a first event.
+    """
+
+    engine: ids.UpstreamId
+    runs: int
+    tokens: int
+    unread_tokens: int
+
+
+class TableMark(msgspec.Struct, array_like=True, frozen=True):
+    """Up to when the sender knows a table of the platform's store.
+
+    Attributes:
+        version: Version up to which it knows all changes.
+        changed: Version of the last change that it knows.
+        store_ms: The store's steady clock at ``version``.
+    """
+
+    table: str
+    version: int
+    changed: int
+    store_ms: float
+
+
+class EntryNews(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """What a forwarding entry VM tells its peers while it lives.
+
+    Attributes:
+        availability_zone: Zone of the sender.
+        engines: Engines at which it has runs or copies.
+        calls: Plain calls that it has at each upstream.
+    """
+
+    availability_zone: ids.AvailabilityZoneId
+    leaving: bool
+    marks: tuple[TableMark, ...]
+    engines: tuple[EngineEntry, ...]
+    calls: tuple[tuple[ids.UpstreamId, int], ...]
+
+
+class RowsFetch(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """Asks for a table if the receiver knows it beyond a version."""
+
+    table: str
+    version: int
+
+
+class RowEntry(msgspec.Struct, array_like=True, frozen=True):
+    """One row of a table."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class RowsReply(msgspec.Struct, array_like=True, tag=14, frozen=True):
+    """All rows of a table, or None if the asker knows as much.
+
+    Attributes:
+        rows: The rows, compressed as one msgpack array by zlib.
+    """
+
+    mark: TableMark
+    rows: bytes | None
+
+
+Query = ConfigFetch | OwnerQuery | ListFetch | RowsFetch
 
 
 class Request(msgspec.Struct, array_like=True, tag=8, frozen=True):
@@ -207,10 +284,18 @@
     """The reply to a question."""
 
     request: int
-    answer: ConfigReply | OwnerReply | ListChange
-
-
-Message = Heartbeat | Introduction | ReaderTaken | Request | Reply | ListChange
+    answer: ConfigReply | OwnerReply | ListChange | RowsReply
+
+
+Message = (
+    Heartbeat
+    | Introduction
+    | ReaderTaken
+    | Request
+    | Reply
+    | ListChange
+    | EntryNews
+)
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -9,22 +9,21 @@
 import typing
 
 import prometheus_client
-import result
 import typer
 
 from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot import exceptions
-from eelgrassknot.forwarding import access
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot.forwarding import connection as connections
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import directory as directories
 from eelgrassknot.forwarding import engine_desk
 from eelgrassknot.forwarding import forwarder as forwarders
+from eelgrassknot.forwarding import knowledge
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import model
-from eelgrassknot.forwarding import row_store
-from eelgrassknot.forwarding import store_watch
+from eelgrassknot.forwarding import peer_news
 from eelgrassknot.forwarding import upstream_link
 from eelgrassknot.forwarding import work as works
 from eelgrassknot import ids
@@ -38,15 +37,6 @@
 __all__ = ['EntryDaemon', 'main']
 
 SETTINGS_VARIABLE = 'EELGRASSKNOT_BOOT'
-CONFIG_WAIT_MS = 1_200.0
-"""How long one call waits for a new state; ms. Three of them, and their
-answers, fit into the least bound on revoked keys."""
-UPSTREAMS_WAIT_MS = 5_000.0
-"""How long one call waits for a change of the upstreams; ms."""
-STEP_MS = 250.0
-"""How often time-outs of the directory are looked at; ms."""
-RELOAD_CHECK_MS = 2_000.0
-"""How often the settings file is looked at for a change; ms."""
 ASSUMED_VMS = 6
 """Entry VMs among which the retry budget is split until peers are known."""
 DRAIN_ACCEPT_MS = 3_000.0
@@ -57,7 +47,7 @@
 """Time before the end of the grace in which this process ends; ms."""
 
 
-class EntryDaemon:
+class EntryDaemon(knowledge.Listener):
     """All that one entry VM does.
 
     Args:
@@ -73,18 +63,17 @@
         self.settings = settings
         self.dialect = dialect
         self.generator = random.Random(ids.random_id())
-        self.clock = clocks.BootClock()
-        self.loop = loops.EventLoop(self.clock)
-        self.store_clock = access.StoreClock()
-        self.access_book = access.AccessBook(settings.rules.revoke_ms)
+        self.loop = loops.EventLoop(clocks.BootClock())
         book = health.HealthBook()
         region = ids.RegionId(settings.region)
         self.desk = engine_desk.EngineDesk(self.loop, region, book)
         self.plain_pool = plain.PlainPool(region, self.generator, book)
-        self.links = upstream_link.UpstreamLinks(self.loop)
+        self.knowledge = knowledge.Knowledge(
+            settings, dialect, self.loop, self.generator, self
+        )
         self.context = works.Context(
             loop=self.loop,
-            links=self.links,
+            links=upstream_link.UpstreamLinks(self.loop),
             dialect=dialect,
             generator=self.generator,
             book=book,
@@ -97,15 +86,12 @@
             ),
         )
         self.forwarder = forwarders.Forwarder(
-            self.context, self.access_book, self.generator
+            self.context, self.knowledge.access_book, self.generator
+        )
+        self.news = peer_news.PeerNews(
+            self.knowledge, self.desk, self.plain_pool, self.loop
         )
-        self.directory = directories.UpstreamDirectory(self._leaving)
-        self.knows_upstreams = False
         self.drain_until_ms: float | None = None
-        self.watches = [
-            self._watch(dialect.config_table, CONFIG_WAIT_MS),
-            self._watch(dialect.upstreams_table, UPSTREAMS_WAIT_MS),
-        ]
         self.listeners: list[connections.Listener] = []
 
     @property
@@ -113,9 +99,9 @@
         """Whether the balancer may send callers here."""
         return (
             self.forwarder.state is not None
-            and self.knows_upstreams
+            and self.knowledge.is_complete
             and not self.forwarder.draining
-            and self.access_book.is_current(self.loop.now_ms())
+            and self.knowledge.access_book.is_current(self.loop.now_ms())
         )
 
     def run(self) -> None:
@@ -142,9 +128,8 @@
                 ),
             ),
         ]
-        for watch in self.watches:
-            watch.start()
-        self.loop.call_later(STEP_MS, self._step)
+        self.knowledge.start()
+        self.news.start()
         logs.event('started', vm=self.settings.vm)
         self.loop.run()
         logs.event('stopped', vm=self.settings.vm)
@@ -156,6 +141,7 @@
         now_ms = self.loop.now_ms()
         logs.event('draining', in_hand=self.forwarder.in_hand)
         self.forwarder.draining = True
+        self.news.leaving = True
         grace_ms = self.settings.rules.grace_s * clocks.MS_PER_SECOND
         self.drain_until_ms = now_ms + grace_ms - GRACE_RESERVE_MS
         self.loop.call_later(
@@ -175,101 +161,29 @@
         connection = caller_connection.CallerConnection(self.forwarder, stream)
         self.forwarder.connections.add(connection)
 
-    def _watch(self, table: str, wait_ms: float) -> store_watch.TableWatch:
-        return store_watch.TableWatch(
-            self.dialect.open_store(self.settings.listen.store),
-            table,
-            wait_ms,
-            self.clock,
-            random.Random(ids.random_id()),
-            lambda news: self.loop.call_soon(
-                functools.partial(self._take_news, news)
-            ),
-        )
-
-    def _take_news(self, news: store_watch.News) -> None:
-        match news:
-            case store_watch.WatchFailed(table, error, True):
-                logs.warning('store_lost', table=table, why=str(error))
-            case store_watch.TableNews():
-                self._take_page(news)
-
-    def _take_page(self, news: store_watch.TableNews) -> None:
-        now_ms = self.loop.now_ms()
-        if news.returned:
-            logs.event('store_regained', table=news.table)
-        self.store_clock.observe(
-            news.sent_ms, news.received_ms, news.page.store_ms
-        )
-        if news.table == self.dialect.config_table:
-            self._take_config(news.page)
-            return
-        if news.returned:
-            self.directory.store_returned(now_ms)
-        self._take_upstreams(news.page, news.is_whole)
-
-    def _take_config(self, page: row_store.RowPage) -> None:
-        for row in page.rows:
-            if row.key != self.dialect.config_key or row.deleted:
-                continue
-            match self.dialect.decode_state(row.value):
-                case result.Ok(state):
-                    self.forwarder.adopt(state)
-                    self._replace_upstreams()
-                case result.Err(error):
-                    logs.error('state_unreadable', why=str(error))
-        as_of_ms = self.store_clock.local_ms(page.store_ms)
-        self.access_book.confirm(as_of_ms)
-
-    def _take_upstreams(self, page: row_store.RowPage, is_whole: bool) -> None:
-        now_ms = self.loop.now_ms()
-        listed = {}
-        for row in page.rows:
-            upstream = None if row.deleted else self._decode(row)
-            if upstream is not None:
-                listed[row.key] = upstream
-            elif not is_whole:
-                self.directory.remove(row.key, now_ms)
-        if is_whole:
-            self.directory.replace(listed, now_ms)
-        else:
-            for upstream in listed.values():
-                self.directory.put(upstream, now_ms)
-        self.knows_upstreams = True
-        self._replace_upstreams()
+    def state_changed(self, state: model.DeploymentState) -> None:
+        """Put a state in force."""
+        self.forwarder.adopt(state)
 
-    def _decode(self, row: row_store.StoreRow) -> model.Upstream | None:
-        found = self.dialect.decode_upstream(
-            row.key, row.value, self.settings.regions
-        )
-        if isinstance(found, result.Err):
-            logs.warning('entry_unreadable', why=str(found.err_value))
-            return None
-        return found.ok_value
-
-    def _replace_upstreams(self) -> None:
+    def upstreams_changed(
+        self, directory: directories.UpstreamDirectory
+    ) -> None:
+        """Put the upstreams that are listed now in use."""
         services = {}
         if self.forwarder.state is not None:
             services = self.forwarder.state.services
-        self.plain_pool.upstreams = dict(self.directory.upstreams)
+        self.plain_pool.upstreams = dict(directory.upstreams)
         self.desk.replace(
-            dict(self.directory.upstreams),
-            services,
-            self.directory.warm_until_ms,
+            dict(directory.upstreams), services, directory.warm_until_ms
         )
 
-    def _leaving(self, upstream: str) -> None:
-        # In a later round, when no new work is placed there any more.
-        self.loop.call_soon(
-            functools.partial(self.desk.upstream_leaving, upstream)
-        )
+    def upstream_leaving(self, upstream: str) -> None:
+        """Have streams go on elsewhere."""
+        self.desk.upstream_leaving(upstream)
 
-    def _step(self) -> None:
-        before = len(self.directory.upstreams)
-        self.directory.step(self.loop.now_ms())
-        if len(self.directory.upstreams) != before:
-            self._replace_upstreams()
-        self.loop.call_later(STEP_MS, self._step)
+    def peer_told(self, vm: ids.VmId, news: messages.EntryNews) -> None:
+        """Count what a peer has at each upstream."""
+        self.news.take(vm, news)
 
 
 class _OperatorsServer:
--- a/eelgrassknot/forwarding/directory.py
+++ b/eelgrassknot/forwarding/directory.py
@@ -43,23 +43,6 @@
         """Take in that the store answers after it was away."""
         self.returned_ms = now_ms
 
-    def replace(
-        self,
-        listed: collections.abc.Mapping[str, model.Upstream],
-        now_ms: float,
-    ) -> None:
-        """Take in the whole list.
-
-        Args:
-            listed: All entries that name an upstream.
-            now_ms: The present time.
-        """
-        for name in list(self.upstreams):
-            if name not in listed:
-                self.remove(name, now_ms)
-        for upstream in listed.values():
-            self.put(upstream, now_ms)
-
     def put(self, upstream: model.Upstream, now_ms: float) -> None:
         """Take in a new or changed entry."""
         name = upstream.upstream
--- a/eelgrassknot/forwarding/row_store.py
+++ b/eelgrassknot/forwarding/row_store.py
@@ -8,6 +8,7 @@
 from eelgrassknot import exceptions
 
 __all__ = [
+    'ConditionFailedError',
     'HistoryGoneError',
     'RowKey',
     'RowPage',
@@ -23,11 +24,18 @@
     code = 'history_gone'
 
 
+class ConditionFailedError(exceptions.EelgrassknotError):
+    """The condition of a write did not hold; nothing was written."""
+
+    code = 'condition_failed'
+
+
 StoreError = (
     exceptions.PlatformUnavailableError
     | exceptions.UnknownOutcomeError
     | exceptions.MalformedAnswerError
     | HistoryGoneError
+    | ConditionFailedError
 )
 
 
@@ -89,3 +97,11 @@
         self, row: RowKey, value: bytes
     ) -> result.Result[None, StoreError]:
         """Write a row whatever it holds."""
+
+    def insert_row(
+        self, row: RowKey, value: bytes
+    ) -> result.Result[bool, StoreError]:
+        """Write a row if it is absent; return whether it was."""
+
+    def delete_row(self, row: RowKey) -> result.Result[None, StoreError]:
+        """Delete a row; repeating it is harmless."""
--- a/eelgrassknot/forwarding/store_watch.py
+++ b/eelgrassknot/forwarding/store_watch.py
@@ -14,6 +14,9 @@
 
 __all__ = ['TableNews', 'TableWatch', 'WatchFailed']
 
+UNWANTED_CHECK_MS = 50.0
+"""How often a watch that is not wanted looks whether it is; ms."""
+TAKE_IN_MS = 10.0
 RETRY_BASE_MS = 100.0
 RETRY_MAX_MS = 800.0
 
@@ -23,7 +26,8 @@
     """The store answered.
 
     Attributes:
-        is_whole: Whether the page holds the whole table, not changes.
+        after: Version after which the page holds all changes, or None
+            if it holds the whole table.
         sent_ms: When the call was sent, on this VM's clock.
         received_ms: When its answer came.
         returned: Whether calls had failed before.
@@ -31,7 +35,7 @@
 
     table: str
     page: row_store.RowPage
-    is_whole: bool
+    after: int | None
     sent_ms: float
     received_ms: float
     returned: bool
@@ -63,6 +67,11 @@
         clock: This VM's clock.
         generator: Source of random delays.
         deliver: Takes the news, in the watch's thread.
+        position: Returns the version after which changes are wanted, or
+            None for the whole table.
+
+    Attributes:
+        wanted: Whether to go on; peers may tell of the table instead.
     """
 
     def __init__(
@@ -73,6 +82,7 @@
         clock: clocks.Clock,
         generator: random.Random,
         deliver: collections.abc.Callable[[News], None],
+        position: collections.abc.Callable[[], int | None],
     ) -> None:
         self.store = store
         self.table = table
@@ -80,7 +90,9 @@
         self.clock = clock
         self.generator = generator
         self.deliver = deliver
-        self.version: int | None = None
+        self.position = position
+        self.wanted = True
+        self.whole_next = True
         self.failing = False
         self.stopped = threading.Event()
         self.jitter = self._new_jitter()
@@ -105,47 +117,45 @@
                 self.stopped.wait(RETRY_MAX_MS / clocks.MS_PER_SECOND)
 
     def _step(self) -> None:
-        is_whole = self.version is None
+        if not self.wanted:
+            self.stopped.wait(UNWANTED_CHECK_MS / clocks.MS_PER_SECOND)
+            return
+        after = None if self.whole_next else self.position()
         sent_ms = self.clock.now_ms()
-        if is_whole:
+        if after is None:
             found = self.store.read_table(self.table)
         else:
-            found = self.store.read_feed(
-                self.table, self.version, self.wait_ms
-            )
+            found = self.store.read_feed(self.table, after, self.wait_ms)
         match found:
             case result.Ok(page):
-                self._take(page, is_whole, sent_ms)
+                self._take(page, after, sent_ms)
             case result.Err(row_store.HistoryGoneError()):
                 logs.event('history_gone', table=self.table)
-                self.version = None
+                self.whole_next = True
             case result.Err(error):
                 self._fail(error)
 
     def _take(
-        self, page: row_store.RowPage, is_whole: bool, sent_ms: float
+        self, page: row_store.RowPage, after: int | None, sent_ms: float
     ) -> None:
-        if self.version is not None and page.version < self.version:
+        if after is not None and page.version < after:
             logs.warning(
                 'old_answer',
                 table=self.table,
                 version=page.version,
-                known=self.version,
+                known=after,
             )
             return
-        self.version = page.version
+        self.whole_next = False
         returned, self.failing = self.failing, False
         self.jitter = self._new_jitter()
+        now_ms = self.clock.now_ms()
         self.deliver(
-            TableNews(
-                self.table,
-                page,
-                is_whole,
-                sent_ms,
-                self.clock.now_ms(),
-                returned,
-            )
+            TableNews(self.table, page, after, sent_ms, now_ms, returned)
         )
+        # Gives the loop time to take the page in: the next call asks for
+        # what comes after it.
+        self.stopped.wait(TAKE_IN_MS / clocks.MS_PER_SECOND)
 
     def _fail(self, error: row_store.StoreError) -> None:
         self.deliver(WatchFailed(self.table, error, not self.failing))
--- a/eelgrassknot/platform/store.py
+++ b/eelgrassknot/platform/store.py
@@ -119,20 +119,58 @@
         self, row: row_store.RowKey, value: bytes
     ) -> result.Result[None, row_store.StoreError]:
         """Write a row whatever it holds; repeating it is harmless."""
+        found = self._commit(row, value, [])
+        return found.map(lambda _: None)
+
+    def insert_row(
+        self, row: row_store.RowKey, value: bytes
+    ) -> result.Result[bool, row_store.StoreError]:
+        """Write a row if it is absent; return whether it was.
+
+        After an unknown outcome the caller has to read the row.
+        """
+        absent = {'table': row.table, 'part': '', 'key': row.key, 'ver': 0}
+        found = self._commit(row, value, [absent])
+        if isinstance(found, result.Err) and isinstance(
+            found.err_value, row_store.ConditionFailedError
+        ):
+            return result.Ok(False)
+        return found.map(lambda _: True)
+
+    def delete_row(
+        self, row: row_store.RowKey
+    ) -> result.Result[None, row_store.StoreError]:
+        """Delete a row; repeating it is harmless."""
+        entry = {'table': row.table, 'part': '', 'key': row.key}
+        body = {'expectedRev': [], 'writes': [], 'deletes': [entry]}
+        found = self._transact(body)
+        return found.map(lambda _: None)
+
+    def _commit(
+        self,
+        row: row_store.RowKey,
+        value: bytes,
+        conditions: list[dict[str, object]],
+    ) -> result.Result[bytes, row_store.StoreError]:
         entry = {
             'table': row.table,
             'part': '',
             'key': row.key,
             'value': base64.b64encode(value).decode('ascii'),
         }
-        body = {'expectedRev': [], 'writes': [entry], 'deletes': []}
-        found = self._call(
+        return self._transact(
+            {'expectedRev': conditions, 'writes': [entry], 'deletes': []}
+        )
+
+    def _transact(
+        self, body: dict[str, object]
+    ) -> result.Result[bytes, row_store.StoreError]:
+        return self._call(
             'POST',
             '/api/rows-tx',
             msgspec.json.encode(body),
             READ_TIMEOUT_MS,
         )
-        return found.map(lambda _: None)
 
     def _query(
         self, path: str, query: dict[str, object], timeout_ms: int
@@ -204,6 +242,13 @@
                 'read the whole table again',
             )
         )
+    if status == _CONDITION_FAILED:
+        return result.Err(
+            row_store.ConditionFailedError(
+                'the condition of a write did not hold; nothing was written',
+                'read the row and decide anew',
+            )
+        )
     if status in _REFUSED:
         return result.Err(
             exceptions.PlatformUnavailableError(
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -413,9 +413,7 @@
     def _is_settled(self) -> bool:
         """Return whether one attempt runs and no other is on its way."""
         return (
-            self.run is not None
-            and self.successor is None
-            and not self.moving
+            self.run is not None and self.successor is None and not self.moving
         )
 
     def _can_use_copy(self) -> bool:
