Trial: a run whose copy is lost moves at once

Cause sought: runs whose copy's engine left were lost with their own. Change: such a run moves with a stop, to the emptiest engine.

--- a/eelgrassknot/forwarding/engine_desk.py
+++ b/eelgrassknot/forwarding/engine_desk.py
@@ -112,17 +112,29 @@
             self.step_soon()
 
     def place_copy(
-        self, request: ids.RequestId, primary: model.Upstream
+        self,
+        request: ids.RequestId,
+        primary: model.Upstream,
+        must_fit: bool = True,
     ) -> model.Upstream | None:
-        """Return where the copy of a run is to be kept, and count it."""
+        """Return where the copy of a run is to be kept, and count it.
+
+        Args:
+            request: The request that runs.
+            primary: Where it runs.
+            must_fit: Whether only an engine with room will do.
+        """
         counted = self.commitment(request)
         if counted is None:
             return None
         counted.copy = None
         engine = self.queue.place_copy(
             primary.service,
-            primary.upstream,
+            engine_pairs.Place(
+                primary.upstream, primary.region, primary.availability_zone
+            ),
             counted.tokens,
+            must_fit,
             self.loop.now_ms(),
         )
         if engine is None:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -298,7 +298,9 @@
             attempt.wire.cancel()
 
     def _begin_move(self, source: model.Upstream) -> None:
-        target = self.context.desk.place_copy(self.work.request, source)
+        target = self.context.desk.place_copy(
+            self.work.request, source, must_fit=False
+        )
         if target is None:
             self.tell(messages.MoveEnded(None, '', False))
             return
--- a/eelgrassknot/forwarding/upstream_link.py
+++ b/eelgrassknot/forwarding/upstream_link.py
@@ -263,6 +263,10 @@
                     return
                 self._take(event)
         except h11.RemoteProtocolError as error:
+            if self.link.connection.closed:
+                # The upstream broke off; there is no more to its answer.
+                self._fail(Fault.BROKEN)
+                return
             logs.warning(
                 'answer_malformed', request=self.request, why=str(error)
             )
--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -12,7 +12,7 @@
 from eelgrassknot import ids
 from eelgrassknot.policy import commitments
 
-__all__ = ['Engine', 'Need', 'choose_copy', 'choose_engine']
+__all__ = ['Engine', 'Need', 'Place', 'choose_copy', 'choose_engine']
 
 PREFILL_TOKENS_PER_MS = 14.0
 """Prompt tokens that an engine reads in a ms; from the users' sheets."""
@@ -30,7 +30,16 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Engine:
+class Place:
+    """Where a run is."""
+
+    upstream: ids.UpstreamId
+    region: ids.RegionId
+    availability_zone: ids.AvailabilityZoneId
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine(Place):
     """An engine that may be given work.
 
     Attributes:
@@ -39,9 +48,6 @@
         warm_up_ms: How much longer it is slow after its start.
     """
 
-    upstream: ids.UpstreamId
-    region: ids.RegionId
-    availability_zone: ids.AvailabilityZoneId
     memory_tokens: int
     slots: int
     warm_up_ms: float = 0.0
@@ -91,25 +97,31 @@
 
 def choose_copy(
     tokens: int,
-    primary: Engine,
+    primary: Place,
     engines: collections.abc.Sequence[Engine],
     sums: Sums,
+    must_fit: bool = True,
 ) -> Engine | None:
     """Return where the copy of a run is kept, or None if nowhere.
 
     Args:
         tokens: Memory that the run needs at its end.
-        primary: Where it runs.
+        primary: Where it runs, which may be about to leave.
         engines: Engines that may be given work.
         sums: What is known to run at each.
+        must_fit: Whether only engines with room will do. A run that is
+            lost otherwise takes the emptiest one: runs end before their
+            forecast more often than not.
     """
-    fitting = [
+    near = [
         engine
         for engine in engines
         if engine.upstream != primary.upstream
         and engine.region == primary.region
-        and fits(tokens, engine, sums)
     ]
+    fitting = [e for e in near if fits(tokens, e, sums)]
+    if not fitting and not must_fit:
+        fitting = near
     if not fitting:
         return None
 
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -115,8 +115,9 @@
     def place_copy(
         self,
         service: ids.ServiceName,
-        primary: ids.UpstreamId,
+        primary: engine_pairs.Place,
         tokens: int,
+        must_fit: bool,
         now_ms: float,
     ) -> engine_pairs.Engine | None:
         """Return where the copy of a run may be kept.
@@ -125,14 +126,17 @@
             service: The service.
             primary: Where the run is.
             tokens: Memory that it needs at its end.
+            must_fit: Whether only an engine with room will do.
             now_ms: The present time.
         """
         engines = self.engines.get(service, ())
-        found = [e for e in engines if e.upstream == primary]
-        if not found:
-            return None
+        usable = set(self.book.usable([e.upstream for e in engines], now_ms))
         return engine_pairs.choose_copy(
-            tokens, found[0], engines, self.commitments.all_sums(now_ms)
+            tokens,
+            primary,
+            [e for e in engines if e.upstream in usable],
+            self.commitments.all_sums(now_ms),
+            must_fit,
         )
 
     def _candidates(
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -331,9 +331,11 @@
         run = self.run
         if run is None or self.rules.resumable:
             return []
-        if run.copy is not None and run.copy.upstream == upstream:
+        lost_copy = run.copy is not None and run.copy.upstream == upstream
+        if lost_copy:
+            # The run itself has to move for a new copy to grow.
             run.copy = None
-        if run.upstream.upstream != upstream:
+        if run.upstream.upstream != upstream and not lost_copy:
             return []
         self.switch_at_ms = now_ms
         return self._tick(now_ms)
