Copies are made on request without a stop, and a run goes on from them

Cause: a move with a stop leaves the stream standing while the transfer waits behind others. Change: the engine copies while the run goes on; the stream goes on from the copy, which reads what it lacks; a copy is renewed every 3 s, and one is made where the first holder left or there was no room at the start.

--- a/eelgrassknot/forwarding/engine_desk.py
+++ b/eelgrassknot/forwarding/engine_desk.py
@@ -115,6 +115,7 @@
         self,
         request: ids.RequestId,
         primary: model.Upstream,
+        refused: frozenset[str] = frozenset(),
         must_fit: bool = True,
     ) -> model.Upstream | None:
         """Return where the copy of a run is to be kept, and count it.
@@ -122,6 +123,7 @@
         Args:
             request: The request that runs.
             primary: Where it runs.
+            refused: Engines that will not do.
             must_fit: Whether only an engine with room will do.
         """
         counted = self.commitment(request)
@@ -134,6 +136,7 @@
                 primary.upstream, primary.region, primary.availability_zone
             ),
             counted.tokens,
+            refused,
             must_fit,
             self.loop.now_ms(),
         )
--- a/eelgrassknot/forwarding/run_move.py
+++ b/eelgrassknot/forwarding/run_move.py
@@ -17,16 +17,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """A move that is to be made.
-
-    Attributes:
-        stop: Whether the source stops the run first.
-    """
+    """A move that is to be made; the run goes on meanwhile."""
 
     request: ids.RequestId
     source: model.Upstream
     target: model.Upstream
-    stop: bool
 
 
 class RunMove(upstream_link.AttemptListener):
@@ -54,7 +49,7 @@
             plan.source.address,
             plan.request,
             plan.target.address,
-            plan.stop,
+            False,
         )
         self.timer = context.loop.call_later(
             MOVE_TIMEOUT_MS, lambda: self._end(None)
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -184,10 +184,10 @@
                 self._send(action)
             case messages.Cancel(attempt):
                 self._cancel(attempt)
-            case messages.PlaceMove(source):
-                self._begin_move(source)
-            case messages.Move(source, target, stop):
-                self._move(source, target, stop)
+            case messages.PlaceMove():
+                self._begin_move(action)
+            case messages.Move(source, target):
+                self._move(source, target)
             case messages.StartAnswer(attempt):
                 self._start_answer(self.attempts[attempt])
             case messages.Forward(data):
@@ -297,35 +297,34 @@
         if attempt is not None and attempt.wire is not None:
             attempt.wire.cancel()
 
-    def _begin_move(self, source: model.Upstream) -> None:
+    def _begin_move(self, place: messages.PlaceMove) -> None:
         target = self.context.desk.place_copy(
-            self.work.request, source, must_fit=False
+            self.work.request,
+            place.source,
+            place.refused,
+            place.must_fit,
         )
         if target is None:
-            self.tell(messages.MoveEnded(None, '', False))
+            self.tell(messages.MoveEnded(None, None))
             return
-        self._move(source, target, False)
+        self._move(place.source, target)
 
-    def _move(
-        self, source: model.Upstream, target: model.Upstream, stop: bool
-    ) -> None:
+    def _move(self, source: model.Upstream, target: model.Upstream) -> None:
         self.move = run_move.RunMove(
             self.context,
-            run_move.Plan(self.work.request, source, target, stop),
+            run_move.Plan(self.work.request, source, target),
             self._moved,
         )
 
     def _moved(self, plan: run_move.Plan, handle: str | None) -> None:
         logs.event(
-            'run_moved',
+            'run_copied',
             request=self.work.request,
             source=plan.source.upstream,
             target=plan.target.upstream,
-            stopped=plan.stop,
             handle=handle,
         )
-        target = plan.target if handle is not None else None
-        self.tell(messages.MoveEnded(target, handle or '', plan.stop))
+        self.tell(messages.MoveEnded(plan.target, handle))
 
     def _start_answer(self, attempt: _StreamAttempt) -> None:
         headers = self.context.dialect.answer_headers(attempt.headers)
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -117,6 +117,7 @@
         service: ids.ServiceName,
         primary: engine_pairs.Place,
         tokens: int,
+        refused: frozenset[str],
         must_fit: bool,
         now_ms: float,
     ) -> engine_pairs.Engine | None:
@@ -126,6 +127,7 @@
             service: The service.
             primary: Where the run is.
             tokens: Memory that it needs at its end.
+            refused: Engines that will not do.
             must_fit: Whether only an engine with room will do.
             now_ms: The present time.
         """
@@ -134,7 +136,11 @@
         return engine_pairs.choose_copy(
             tokens,
             primary,
-            [e for e in engines if e.upstream in usable],
+            [
+                engine
+                for engine in engines
+                if engine.upstream in usable and engine.upstream not in refused
+            ],
             self.commitments.all_sums(now_ms),
             must_fit,
         )
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -1,9 +1,10 @@
 """Life of one forwarded stream, which may outlive its upstream.
 
 A stream that may not be resumed goes on at another engine only from the
-memory of its own run: from a copy that grew while it ran, or from a move
-of the memory before its engine leaves. A resumable stream may also be run
-anew after its last event.
+memory of its own run: from a copy that grew while it ran, or from one
+that its engine made on request. What a copy lacks is read from the
+stream's own events, so an old one will do. A resumable stream may also be
+run anew after its last event.
 
 References:
     Sun et al., "Llumnix: Dynamic Scheduling for Large Language Model
@@ -23,29 +24,53 @@
 COPY_GROWTH_MS = 350.0
 """A copy is taken for usable so long after the first event; ms. Engines
 send copies several times a second."""
+COPY_REFRESH_MS = 3_000.0
+"""A copy made on request is brought up to date so often; ms. Engines drop
+an unused one after 5 s."""
+COPY_RETRY_MS = 1_000.0
+"""Pause before another try to make a copy while none is needed yet; ms."""
 SILENCE_MS = 700.0
 """Events that stay away for so long are taken for a lost upstream, if
 there is a copy to go on from; ms."""
-SWITCH_RETRY_MS = 500.0
+SWITCH_RETRY_MS = 150.0
 """Pause before another try to leave an upstream; ms."""
+FIRST_EVENT_CHECK_MS = 50.0
+"""How often a run that has to leave looks for its first event; ms."""
 MAX_PLACEMENTS = 6
 """Upstreams that are asked for one stream, those that refused included."""
 NEVER_MS = float('inf')
 
 
+@dataclasses.dataclass(frozen=True)
+class _Copy:
+    """A copy of a run's memory.
+
+    Attributes:
+        holder: Engine that keeps it.
+        name: ``IP:port/name`` under which it is continued from.
+        usable_ms: When there is enough of it.
+        grows: Whether it grows by itself.
+    """
+
+    holder: kernel_events.UpstreamInfo
+    name: str
+    usable_ms: float
+    grows: bool
+
+
 @dataclasses.dataclass
 class _Run:
     """One attempt.
 
     Attributes:
-        copy: Engine that keeps a copy of the run.
+        copy: Copy of the run's memory.
         first_event_ms: When its first event came.
         heard_ms: When it was last heard of.
     """
 
     attempt: int
     upstream: kernel_events.UpstreamInfo
-    copy: kernel_events.UpstreamInfo | None = None
+    copy: _Copy | None = None
     headed: bool = False
     first_event_ms: float | None = None
     heard_ms: float = 0.0
@@ -96,7 +121,10 @@
         self.answered = False
         self.may_have_run = False
         self.moving = False
+        self.must_leave = False
         self.switch_at_ms = NEVER_MS
+        self.copy_at_ms = NEVER_MS
+        self.refused_copies: set[str] = set()
         self.takeovers = 0
 
     def handle(
@@ -114,9 +142,7 @@
             case messages.Placed(upstream):
                 return self._send_anew(upstream, now_ms)
             case messages.CopyPlaced(attempt, upstream):
-                run = self._find(attempt)
-                if run is not None:
-                    run.copy = upstream
+                self._copy_placed(attempt, upstream)
                 return []
             case messages.Refused(reason, retry_after_ms):
                 return self._give_up(reason.value, retry_after_ms)
@@ -142,7 +168,7 @@
         """Return the time at which a tick is needed next."""
         wake_ms = self.deadline_ms
         if self._is_settled():
-            wake_ms = min(wake_ms, self.switch_at_ms)
+            wake_ms = min(wake_ms, self.switch_at_ms, self.copy_at_ms)
             if self._can_use_copy():
                 wake_ms = min(wake_ms, self.run.heard_ms + SILENCE_MS)
         return wake_ms
@@ -192,9 +218,19 @@
         return _Run(self.attempt, upstream, heard_ms=now_ms)
 
     def _continue_at_copy(self, now_ms: float) -> list[messages.Action]:
-        holder = self.run.copy
-        source = f'{holder.address}/{self.request}'
-        return self._send_successor(holder, source, now_ms)
+        copy = self.run.copy
+        # A copy can be used once.
+        self.run.copy = None
+        return self._send_successor(copy.holder, copy.name, now_ms)
+
+    def _copy_placed(
+        self, attempt: int, holder: kernel_events.UpstreamInfo | None
+    ) -> None:
+        run = self._find(attempt)
+        if run is None or holder is None:
+            return
+        name = f'{holder.address}/{self.request}'
+        run.copy = _Copy(holder, name, NEVER_MS, grows=True)
 
     # Answers
 
@@ -231,7 +267,10 @@
         old, self.run = self.run, self.successor
         self.successor = None
         self.moving = False
+        self.must_leave = self.run.upstream.upstream in self.leaving
         self.switch_at_ms = NEVER_MS
+        self.copy_at_ms = NEVER_MS
+        self.refused_copies.clear()
         self.takeovers += 1
         return [messages.Cancel(old.attempt)]
 
@@ -242,7 +281,7 @@
             return []
         self.run.heard_ms = now_ms
         if self.run.first_event_ms is None:
-            self.run.first_event_ms = now_ms
+            self._take_first_event(now_ms)
         if index is not None and self.last_event is not None:
             if index <= self.last_event:
                 return []
@@ -253,6 +292,16 @@
             self.last_event = index
         return [messages.Forward(data)]
 
+    def _take_first_event(self, now_ms: float) -> None:
+        run = self.run
+        run.first_event_ms = now_ms
+        if run.copy is not None:
+            run.copy = dataclasses.replace(
+                run.copy, usable_ms=now_ms + COPY_GROWTH_MS
+            )
+        elif self._may_copy():
+            self.copy_at_ms = now_ms + COPY_RETRY_MS
+
     def _ended(self, attempt: int) -> list[messages.Action]:
         if self.run is None or attempt != self.run.attempt:
             return []
@@ -277,18 +326,17 @@
             return self._after_lost_successor(now_ms)
         if self.successor is not None:
             # The successor goes on from here, whatever became of this.
-            self.run = dataclasses.replace(run, copy=None)
             return []
         if not bytes_left:
             return self._place_again()
         return self._after_lost_run(now_ms)
 
     def _after_lost_run(self, now_ms: float) -> list[messages.Action]:
-        if self.moving:
-            # The source may have stopped for the move, whose end is near.
-            return []
         if self.run.copy is not None:
             return self._continue_at_copy(now_ms)
+        if self.moving:
+            # The copy that is being made may still arrive.
+            return []
         return self._run_anew()
 
     def _run_anew(self) -> list[messages.Action]:
@@ -297,11 +345,12 @@
         return self._give_up('upstream_lost', None)
 
     def _after_lost_successor(self, now_ms: float) -> list[messages.Action]:
-        self.moving = False
         if self.run.upstream.upstream in self.failed:
-            return self._run_anew()
-        self.run.copy = None
-        self.switch_at_ms = now_ms
+            return self._after_lost_run(now_ms)
+        if self.must_leave:
+            self.switch_at_ms = now_ms
+        elif self._may_copy():
+            self.copy_at_ms = now_ms
         return self._tick(now_ms)
 
     def _not_run(self, attempt: int, now_ms: float) -> list[messages.Action]:
@@ -331,13 +380,12 @@
         run = self.run
         if run is None or self.rules.resumable:
             return []
-        lost_copy = run.copy is not None and run.copy.upstream == upstream
-        if lost_copy:
-            # The run itself has to move for a new copy to grow.
+        if run.copy is not None and run.copy.holder.upstream == upstream:
             run.copy = None
-        if run.upstream.upstream != upstream and not lost_copy:
-            return []
-        self.switch_at_ms = now_ms
+            self.copy_at_ms = now_ms
+        if run.upstream.upstream == upstream:
+            self.must_leave = True
+            self.switch_at_ms = now_ms
         return self._tick(now_ms)
 
     def _tick(self, now_ms: float) -> list[messages.Action]:
@@ -347,6 +395,9 @@
             return []
         if now_ms >= self.switch_at_ms:
             return self._leave_upstream(now_ms)
+        if now_ms >= self.copy_at_ms:
+            self.copy_at_ms = NEVER_MS
+            return self._make_copy()
         silent = now_ms >= self.run.heard_ms + SILENCE_MS
         if silent and self._can_use_copy():
             self.run.heard_ms = now_ms
@@ -356,39 +407,58 @@
     def _leave_upstream(self, now_ms: float) -> list[messages.Action]:
         run = self.run
         if run.first_event_ms is None:
-            self.switch_at_ms = now_ms + SWITCH_RETRY_MS / 5
+            self.switch_at_ms = now_ms + FIRST_EVENT_CHECK_MS
             return []
-        usable_ms = run.first_event_ms + COPY_GROWTH_MS
-        if run.copy is not None and now_ms < usable_ms:
-            self.switch_at_ms = usable_ms
+        if run.copy is not None and now_ms < run.copy.usable_ms:
+            self.switch_at_ms = run.copy.usable_ms
             return []
         self.switch_at_ms = NEVER_MS
         if run.copy is not None:
             return self._continue_at_copy(now_ms)
-        if self.rules.can_move:
-            self.moving = True
-            return [messages.PlaceMove(run.upstream)]
-        return []
+        return self._make_copy()
+
+    def _make_copy(self) -> list[messages.Action]:
+        """Have the engine copy the run's memory, or bring a copy up."""
+        run = self.run
+        if run.first_event_ms is None or not self._may_copy():
+            return []
+        if run.copy is not None and run.copy.grows:
+            return []
+        self.moving = True
+        if run.copy is not None:
+            return [messages.Move(run.upstream, run.copy.holder)]
+        refused = frozenset(self.refused_copies | self.leaving)
+        return [messages.PlaceMove(run.upstream, refused, not self.must_leave)]
 
     def _move_ended(
         self, event: messages.MoveEnded, now_ms: float
     ) -> list[messages.Action]:
         if not self.moving or self.run is None:
             return []
-        source = self.run.upstream
-        if event.target is None:
-            self.moving = False
-            if source.upstream in self.failed:
-                return self._run_anew()
-            self.switch_at_ms = now_ms + SWITCH_RETRY_MS
-            return []
-        if not event.stopped:
-            return [messages.Move(source, event.target, stop=True)]
         self.moving = False
-        name = f'{source.address}/{event.handle}'
-        # The source has stopped, so it is of no use from here on.
-        self.failed.add(source.upstream)
-        return self._send_successor(event.target, name, now_ms)
+        run = self.run
+        if event.handle is not None:
+            name = f'{run.upstream.address}/{event.handle}'
+            run.copy = _Copy(event.target, name, now_ms, grows=False)
+            self.copy_at_ms = now_ms + COPY_REFRESH_MS
+        else:
+            run.copy = None
+            if event.target is None:
+                # Room may come where there was none before.
+                self.refused_copies.clear()
+            else:
+                self.refused_copies.add(event.target.upstream)
+        if run.upstream.upstream in self.failed:
+            return self._after_lost_run(now_ms)
+        if self.must_leave:
+            pause_ms = 0.0 if event.target else SWITCH_RETRY_MS
+            self.switch_at_ms = now_ms + pause_ms
+        elif event.handle is None:
+            self.copy_at_ms = now_ms + COPY_RETRY_MS
+        return self._tick(now_ms)
+
+    def _may_copy(self) -> bool:
+        return self.rules.can_move and not self.rules.resumable
 
     # Ends
 
@@ -424,6 +494,7 @@
             run is not None
             and run.copy is not None
             and run.first_event_ms is not None
+            and run.heard_ms >= run.first_event_ms
         )
 
     def _find(self, attempt: int) -> _Run | None:
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -1,7 +1,6 @@
 """Events that a forwarded stream is told and actions that it returns."""
 
 import dataclasses
-import enum
 
 from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot import states
@@ -26,7 +25,6 @@
     'Placed',
     'Received',
     'Refused',
-    'Resumed',
     'Send',
     'StartAnswer',
     'StreamRules',
@@ -54,13 +52,6 @@
     can_move: bool
 
 
-class Resumed(enum.Enum):
-    """From what a stream goes on at another upstream."""
-
-    COPY = 'copy'
-    MOVED = 'moved'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """The dispatcher chose an upstream."""
@@ -143,14 +134,12 @@
     """A move of the run's memory has ended.
 
     Attributes:
-        target: Where the memory is now, or None if the move failed.
-        handle: Names the copy, as the source tells it.
-        stopped: Whether the source has stopped the run.
+        target: Where the memory was to go, or None if nowhere has room.
+        handle: Names the copy there, or None if there is none.
     """
 
     target: UpstreamInfo | None
-    handle: str
-    stopped: bool
+    handle: str | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,9 +175,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceMove:
-    """Have the dispatcher choose where the run's memory can be moved."""
+    """Have the dispatcher choose where the run's memory can be copied.
+
+    Attributes:
+        refused: Upstreams that had no room for it.
+        must_fit: Whether only an upstream with room will do.
+    """
 
     source: UpstreamInfo
+    refused: frozenset[str]
+    must_fit: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,15 +215,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
-    """Have the source copy the run's memory to a target.
-
-    Attributes:
-        stop: Whether the source stops the run first.
-    """
+    """Have the source copy what is new of the run's memory to a target."""
 
     source: UpstreamInfo
     target: UpstreamInfo
-    stop: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
