--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -191,13 +191,15 @@
     """Totals of the sender's runs at one engine.
 
     Attributes:
-        tokens: Memory that they and the copies kept there take.
+        tokens: Memory that they take.
+        copy_tokens: Memory that copies of runs elsewhere take there.
         unread_tokens: Prompt tokens of those without a first event.
     """
 
     engine: ids.UpstreamId
     runs: int
     tokens: int
+    copy_tokens: int
     unread_tokens: int
 
 
--- a/eelgrassknot/forwarding/peer_news.py
+++ b/eelgrassknot/forwarding/peer_news.py
@@ -58,7 +58,10 @@
         """Count what a peer has at each upstream."""
         sums = {
             entry.engine: commitments.EngineSums(
-                entry.runs, entry.tokens, entry.unread_tokens
+                entry.runs,
+                entry.tokens,
+                entry.copy_tokens,
+                entry.unread_tokens,
             )
             for entry in news.engines
         }
@@ -85,7 +88,11 @@
                 (mark.table, mark.changed) for mark in self.knowledge.marks()
             ),
             tuple(
-                (engine, each.runs, each.tokens // TOKEN_STEP)
+                (
+                    engine,
+                    each.runs,
+                    (each.tokens + each.copy_tokens) // TOKEN_STEP,
+                )
                 for engine, each in sorted(sums.items())
             ),
         )
@@ -104,7 +111,11 @@
             self.knowledge.marks(),
             tuple(
                 messages.EngineEntry(
-                    engine, each.runs, each.tokens, each.unread_tokens
+                    engine,
+                    each.runs,
+                    each.tokens,
+                    each.copy_tokens,
+                    each.unread_tokens,
                 )
                 for engine, each in sums.items()
             ),
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -107,6 +107,7 @@
                 can_move=engine is not None and engine.can_move,
             ),
             work.deadline_ms,
+            context.generator,
             work.headers.last_event,
         )
         self.attempts: dict[int, _StreamAttempt] = {}
--- a/eelgrassknot/policy/commitments.py
+++ b/eelgrassknot/policy/commitments.py
@@ -24,12 +24,14 @@
 
     Attributes:
         runs: Runs that are there.
-        tokens: Memory that they and copies kept there take.
+        tokens: Memory that they take.
+        copy_tokens: Memory that copies of runs elsewhere take there.
         unread_tokens: Prompt tokens of those without a first event.
     """
 
     runs: int = 0
     tokens: int = 0
+    copy_tokens: int = 0
     unread_tokens: int = 0
 
     def plus(self, other: 'EngineSums') -> 'EngineSums':
@@ -37,6 +39,7 @@
         return EngineSums(
             self.runs + other.runs,
             self.tokens + other.tokens,
+            self.copy_tokens + other.copy_tokens,
             self.unread_tokens + other.unread_tokens,
         )
 
@@ -75,8 +78,8 @@
         >>> book = Commitments()
         >>> book.commit('r1', Commitment('e1', 'e2', 100, 50))
         >>> book.sums('e1', 0.0)
-        EngineSums(runs=1, tokens=150, unread_tokens=100)
-        >>> book.sums('e2', 0.0).tokens
+        EngineSums(runs=1, tokens=150, copy_tokens=0, unread_tokens=100)
+        >>> book.sums('e2', 0.0).copy_tokens
         150
     """
 
@@ -110,10 +113,10 @@
         )
         for run in self.runs.values():
             unread = 0 if run.started else run.prompt_tokens
-            here = EngineSums(1, run.tokens, unread)
+            here = EngineSums(1, run.tokens, 0, unread)
             sums[run.upstream] = sums[run.upstream].plus(here)
             if run.copy is not None:
-                kept = EngineSums(0, run.tokens, 0)
+                kept = EngineSums(0, 0, run.tokens, 0)
                 sums[run.copy] = sums[run.copy].plus(kept)
         return dict(sums)
 
--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -23,10 +23,16 @@
 """Delay of the round trip to another region; ms."""
 WARM_UP_SHARE = 0.3
 """Part of the remaining warm-up that is counted as delay."""
-NO_COPY_DELAY_MS = 1_500.0
-"""Delay that weighs as much as doing without a copy; ms."""
-OTHER_ZONE_SHARE = 0.05
-"""Part of the memory that weighs as much as a copy in another zone."""
+NO_COPY_DELAY_MS = 300.0
+"""Delay that weighs as much as doing without a copy for now; ms."""
+ALONE_DELAY_MS = 2_500.0
+"""Delay that weighs as much as an engine that has no other in its region:
+what runs there ends with it; ms."""
+OVERFULL_DELAY_MS = 1_500.0
+"""Delay that weighs as much as displacing copies of a whole memory; ms."""
+OTHER_ZONE_SHARE = 0.15
+"""Part of the memory that weighs as much as a copy in another zone, which
+takes twice as long."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,15 +125,14 @@
         if engine.upstream != primary.upstream
         and engine.region == primary.region
     ]
-    fitting = [e for e in near if fits(tokens, e, sums)]
+    fitting = [e for e in near if fits_copy(tokens, e, sums)]
     if not fitting and not must_fit:
         fitting = near
     if not fitting:
         return None
 
     def taken(engine: Engine) -> float:
-        used = sums.get(engine.upstream, _NONE).tokens
-        share = used / engine.memory_tokens
+        share = _taken(engine, sums) / engine.memory_tokens
         if engine.availability_zone != primary.availability_zone:
             share += OTHER_ZONE_SHARE
         return share
@@ -136,7 +141,10 @@
 
 
 def fits(tokens: int, engine: Engine, sums: Sums) -> bool:
-    """Return whether an engine has room for a run."""
+    """Return whether an engine has room for a run beside the others.
+
+    Copies that are kept there can be displaced.
+    """
     present = sums.get(engine.upstream, _NONE)
     if present.runs >= engine.slots:
         return False
@@ -145,6 +153,16 @@
     return present.tokens + wanted <= engine.memory_tokens
 
 
+def fits_copy(tokens: int, engine: Engine, sums: Sums) -> bool:
+    """Return whether an engine has room for a copy beside all it has."""
+    return _taken(engine, sums) + tokens <= engine.memory_tokens
+
+
+def _taken(engine: Engine, sums: Sums) -> int:
+    present = sums.get(engine.upstream, _NONE)
+    return present.tokens + present.copy_tokens
+
+
 def _delay_ms(
     need: Need,
     engine: Engine,
@@ -157,8 +175,24 @@
     delay_ms += engine.warm_up_ms * WARM_UP_SHARE
     if engine.region != need.region:
         delay_ms += FAR_DELAY_MS
-    if need.wants_copy and (
-        choose_copy(need.tokens, engine, engines, sums) is None
-    ):
-        delay_ms += NO_COPY_DELAY_MS
+    overfull = _taken(engine, sums) + need.tokens - engine.memory_tokens
+    if overfull > 0:
+        delay_ms += OVERFULL_DELAY_MS * overfull / engine.memory_tokens
+    if need.wants_copy:
+        delay_ms += _risk_ms(need, engine, engines, sums)
     return delay_ms
+
+
+def _risk_ms(
+    need: Need,
+    engine: Engine,
+    engines: collections.abc.Sequence[Engine],
+    sums: Sums,
+) -> float:
+    """Return the delay that the risk of losing the run weighs as much as."""
+    regions = [other.region for other in engines]
+    if regions.count(engine.region) < 2:
+        return ALONE_DELAY_MS
+    if choose_copy(need.tokens, engine, engines, sums) is None:
+        return NO_COPY_DELAY_MS
+    return 0.0
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -13,6 +13,7 @@
 
 import dataclasses
 import enum
+import random
 
 from eelgrassknot import ids
 from eelgrassknot.kernel import events as kernel_events
@@ -27,6 +28,14 @@
 COPY_REFRESH_MS = 3_000.0
 """A copy made on request is brought up to date so often; ms. Engines drop
 an unused one after 5 s."""
+COPY_AGE_MS = 250.0
+"""A copy made on request is brought up to date before a planned change if
+it is older than this; ms. What it lacks is read and delays the stream."""
+COPY_TRIES = 3
+"""How often a growing copy is tried that was not there yet."""
+LEAVE_SPREAD_MS = 500.0
+"""Runs leave an engine within this time of its notice; ms. Engines give
+1.5 s, and all at once would delay each other."""
 COPY_RETRY_MS = 1_000.0
 """Pause before another try to make a copy while none is needed yet; ms."""
 SILENCE_MS = 700.0
@@ -50,12 +59,14 @@
         name: ``IP:port/name`` under which it is continued from.
         usable_ms: When there is enough of it.
         grows: Whether it grows by itself.
+        tries: How often it was continued from in vain.
     """
 
     holder: kernel_events.UpstreamInfo
     name: str
     usable_ms: float
     grows: bool
+    tries: int = 0
 
 
 @dataclasses.dataclass
@@ -89,6 +100,7 @@
         request: Identifier of the request.
         rules: What may be done with the stream.
         deadline_ms: Time by which it has to end.
+        generator: Source of random delays.
         last_event: Last event that the caller had before, or None.
 
     Attributes:
@@ -105,8 +117,10 @@
         request: ids.RequestId,
         rules: messages.StreamRules,
         deadline_ms: float,
+        generator: random.Random,
         last_event: int | None = None,
     ) -> None:
+        self.generator = generator
         self.request = request
         self.rules = rules
         self.deadline_ms = deadline_ms
@@ -125,6 +139,7 @@
         self.switch_at_ms = NEVER_MS
         self.copy_at_ms = NEVER_MS
         self.refused_copies: set[str] = set()
+        self.tried_copy: _Copy | None = None
         self.takeovers = 0
 
     def handle(
@@ -219,8 +234,9 @@
 
     def _continue_at_copy(self, now_ms: float) -> list[messages.Action]:
         copy = self.run.copy
-        # A copy can be used once.
+        # A copy can be used once, unless it is refused.
         self.run.copy = None
+        self.tried_copy = copy
         return self._send_successor(copy.holder, copy.name, now_ms)
 
     def _copy_placed(
@@ -359,11 +375,24 @@
             return []
         if run is self.successor:
             self.successor = None
+            self._keep_refused_copy(now_ms)
             return self._after_lost_successor(now_ms)
         self.failed.add(run.upstream.upstream)
         self.runs_begun -= 1
         return self._place_again()
 
+    def _keep_refused_copy(self, now_ms: float) -> None:
+        """Keep a copy that was refused: it may not have been there yet."""
+        copy = self.tried_copy
+        if copy is None or not copy.grows or copy.tries + 1 >= COPY_TRIES:
+            return
+        if copy.holder.upstream not in self.leaving:
+            self.run.copy = dataclasses.replace(
+                copy,
+                tries=copy.tries + 1,
+                usable_ms=now_ms + SWITCH_RETRY_MS,
+            )
+
     def _place_again(self) -> list[messages.Action]:
         if self.attempt >= MAX_PLACEMENTS:
             return self._give_up('upstream_unreachable', None)
@@ -385,7 +414,8 @@
             self.copy_at_ms = now_ms
         if run.upstream.upstream == upstream:
             self.must_leave = True
-            self.switch_at_ms = now_ms
+            spread_ms = self.generator.uniform(0.0, LEAVE_SPREAD_MS)
+            self.switch_at_ms = now_ms + spread_ms
         return self._tick(now_ms)
 
     def _tick(self, now_ms: float) -> list[messages.Action]:
@@ -413,10 +443,14 @@
             self.switch_at_ms = run.copy.usable_ms
             return []
         self.switch_at_ms = NEVER_MS
-        if run.copy is not None:
+        if run.copy is not None and not self._is_outdated(now_ms):
             return self._continue_at_copy(now_ms)
         return self._make_copy()
 
+    def _is_outdated(self, now_ms: float) -> bool:
+        copy = self.run.copy
+        return not copy.grows and now_ms > copy.usable_ms + COPY_AGE_MS
+
     def _make_copy(self) -> list[messages.Action]:
         """Have the engine copy the run's memory, or bring a copy up."""
         run = self.run
@@ -441,6 +475,9 @@
             name = f'{run.upstream.address}/{event.handle}'
             run.copy = _Copy(event.target, name, now_ms, grows=False)
             self.copy_at_ms = now_ms + COPY_REFRESH_MS
+        elif self.must_leave and run.copy is not None:
+            # It was not brought up to date, but will do.
+            run.copy = dataclasses.replace(run.copy, usable_ms=now_ms)
         else:
             run.copy = None
             if event.target is None:
