Copies fill three quarters of a memory; others are made on notice

Cause: copies of all runs filled the engines, so that streams waited for their first event, and runs that had to leave found no room. Change: a copy is placed only where a quarter of the memory stays free; none is made ahead on request; runs find room beside copies; an engine alone in its region weighs as a delay of 2.5 s.

--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -28,8 +28,9 @@
 ALONE_DELAY_MS = 2_500.0
 """Delay that weighs as much as an engine that has no other in its region:
 what runs there ends with it; ms."""
-OVERFULL_DELAY_MS = 1_500.0
-"""Delay that weighs as much as displacing copies of a whole memory; ms."""
+COPY_FILL_SHARE = 0.75
+"""Part of a memory that copies may fill; the rest is for runs, and for
+those that have to leave another engine."""
 OTHER_ZONE_SHARE = 0.15
 """Part of the memory that weighs as much as a copy in another zone, which
 takes twice as long."""
@@ -141,21 +142,18 @@
 
 
 def fits(tokens: int, engine: Engine, sums: Sums) -> bool:
-    """Return whether an engine has room for a run beside the others.
-
-    Copies that are kept there can be displaced.
-    """
-    present = sums.get(engine.upstream, _NONE)
-    if present.runs >= engine.slots:
+    """Return whether an engine has room for a run beside all it has."""
+    if sums.get(engine.upstream, _NONE).runs >= engine.slots:
         return False
     # A run larger than the whole memory is the engine's to reject.
     wanted = min(tokens, engine.memory_tokens)
-    return present.tokens + wanted <= engine.memory_tokens
+    return _taken(engine, sums) + wanted <= engine.memory_tokens
 
 
 def fits_copy(tokens: int, engine: Engine, sums: Sums) -> bool:
-    """Return whether an engine has room for a copy beside all it has."""
-    return _taken(engine, sums) + tokens <= engine.memory_tokens
+    """Return whether an engine has room to spare for a copy."""
+    limit = engine.memory_tokens * COPY_FILL_SHARE
+    return _taken(engine, sums) + tokens <= limit
 
 
 def _taken(engine: Engine, sums: Sums) -> int:
@@ -175,9 +173,6 @@
     delay_ms += engine.warm_up_ms * WARM_UP_SHARE
     if engine.region != need.region:
         delay_ms += FAR_DELAY_MS
-    overfull = _taken(engine, sums) + need.tokens - engine.memory_tokens
-    if overfull > 0:
-        delay_ms += OVERFULL_DELAY_MS * overfull / engine.memory_tokens
     if need.wants_copy:
         delay_ms += _risk_ms(need, engine, engines, sums)
     return delay_ms
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -315,8 +315,6 @@
             run.copy = dataclasses.replace(
                 run.copy, usable_ms=now_ms + COPY_GROWTH_MS
             )
-        elif self._may_copy():
-            self.copy_at_ms = now_ms + COPY_RETRY_MS
 
     def _ended(self, attempt: int) -> list[messages.Action]:
         if self.run is None or attempt != self.run.attempt:
@@ -365,8 +363,6 @@
             return self._after_lost_run(now_ms)
         if self.must_leave:
             self.switch_at_ms = now_ms
-        elif self._may_copy():
-            self.copy_at_ms = now_ms
         return self._tick(now_ms)
 
     def _not_run(self, attempt: int, now_ms: float) -> list[messages.Action]:
@@ -411,7 +407,6 @@
             return []
         if run.copy is not None and run.copy.holder.upstream == upstream:
             run.copy = None
-            self.copy_at_ms = now_ms
         if run.upstream.upstream == upstream:
             self.must_leave = True
             spread_ms = self.generator.uniform(0.0, LEAVE_SPREAD_MS)
@@ -490,8 +485,6 @@
         if self.must_leave:
             pause_ms = 0.0 if event.target else SWITCH_RETRY_MS
             self.switch_at_ms = now_ms + pause_ms
-        elif event.handle is None:
-            self.copy_at_ms = now_ms + COPY_RETRY_MS
         return self._tick(now_ms)
 
     def _may_copy(self) -> bool:
