Runs with a copy leave an engine within 1.1 s, those without at once

Cause: transfers of a leaving engine's runs take longer than its notice; runs that have a copy need none, and some of them end before they must go. Change: spread by copy; the weight of an engine alone in its region grows with the output; unread prompts count when a copy is placed.

--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -25,9 +25,9 @@
 """Part of the remaining warm-up that is counted as delay."""
 NO_COPY_DELAY_MS = 300.0
 """Delay that weighs as much as doing without a copy for now; ms."""
-ALONE_DELAY_MS = 2_500.0
-"""Delay that weighs as much as an engine that has no other in its region:
-what runs there ends with it; ms."""
+ALONE_DELAY_PER_TOKEN_MS = 3.0
+"""Delay that weighs as much as a token of output at an engine that has no
+other in its region: what runs there ends with it; ms."""
 COPY_FILL_SHARE = 0.75
 """Part of a memory that copies may fill; the rest is for runs, and for
 those that have to leave another engine."""
@@ -133,7 +133,8 @@
         return None
 
     def taken(engine: Engine) -> float:
-        share = _taken(engine, sums) / engine.memory_tokens
+        unread = sums.get(engine.upstream, _NONE).unread_tokens
+        share = (_taken(engine, sums) + unread) / engine.memory_tokens
         if engine.availability_zone != primary.availability_zone:
             share += OTHER_ZONE_SHARE
         return share
@@ -187,7 +188,7 @@
     """Return the delay that the risk of losing the run weighs as much as."""
     regions = [other.region for other in engines]
     if regions.count(engine.region) < 2:
-        return ALONE_DELAY_MS
+        return ALONE_DELAY_PER_TOKEN_MS * need.output_tokens
     if choose_copy(need.tokens, engine, engines, sums) is None:
         return NO_COPY_DELAY_MS
     return 0.0
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -33,9 +33,10 @@
 it is older than this; ms. What it lacks is read and delays the stream."""
 COPY_TRIES = 3
 """How often a growing copy is tried that was not there yet."""
-LEAVE_SPREAD_MS = 500.0
-"""Runs leave an engine within this time of its notice; ms. Engines give
-1.5 s, and all at once would delay each other."""
+LEAVE_SPREAD_MS = 1_100.0
+"""Runs with a copy leave an engine within this time of its notice; ms.
+Engines give 1.5 s; all at once would delay each other, and some end before
+they have to leave. Runs without a copy need all the time there is."""
 COPY_RETRY_MS = 1_000.0
 """Pause before another try to make a copy while none is needed yet; ms."""
 SILENCE_MS = 700.0
@@ -409,8 +410,11 @@
             run.copy = None
         if run.upstream.upstream == upstream:
             self.must_leave = True
-            spread_ms = self.generator.uniform(0.0, LEAVE_SPREAD_MS)
-            self.switch_at_ms = now_ms + spread_ms
+            self.switch_at_ms = now_ms
+            if run.copy is not None:
+                self.switch_at_ms += self.generator.uniform(
+                    0.0, LEAVE_SPREAD_MS
+                )
         return self._tick(now_ms)
 
     def _tick(self, now_ms: float) -> list[messages.Action]:
