Tests of streams that outlive their engine and of their placement

3,000 random histories of a stream; placement, room, copies, and the load pattern of eight VMs that place at once.

--- /dev/null
+++ b/tests/steps/policy_engine_pairs.py
@@ -0,0 +1,233 @@
+"""Steps on the placement of runs and their copies."""
+
+import random
+
+import behave
+
+from eelgrassknot import ids
+from eelgrassknot.policy import commitments
+from eelgrassknot.policy import engine_pairs
+from eelgrassknot.policy import engine_queue
+from eelgrassknot.policy import health
+
+SERVICE = ids.ServiceName('s')
+
+
+def _engine(name, region, tokens=30_000, zone='z'):
+    return engine_pairs.Engine(name, region, zone, tokens, 48)
+
+
+def _need(context, prompt, output=0, wants_copy=False):
+    region = getattr(context, 'vm_region', 'r')
+    return engine_pairs.Need(region, prompt, output, wants_copy)
+
+
+def _set(context, names, tokens):
+    context.engines = [_engine(name, 'r', tokens) for name in names]
+    context.sums = {}
+
+
+@behave.given('engines a and b in region r with {tokens:d} tokens each')
+def two_engines(context, tokens):
+    _set(context, 'ab', tokens)
+
+
+@behave.given('engines a, b and d in region r with {tokens:d} tokens each')
+def three_engines(context, tokens):
+    _set(context, 'abd', tokens)
+
+
+@behave.given('engine c alone in region q, the region of the VM')
+def alone(context):
+    context.engines.append(_engine('c', 'q'))
+    context.vm_region = 'q'
+
+
+@behave.given('{name:w} has {count:d} run of {tokens:d} tokens, all unread')
+def has_unread(context, name, count, tokens):
+    total = count * tokens
+    context.sums[name] = commitments.EngineSums(count, total, 0, total)
+
+
+@behave.given('{name:w} has {count:d} runs of {tokens:d} tokens, none unread')
+def has_runs(context, name, count, tokens):
+    context.sums[name] = commitments.EngineSums(count, count * tokens, 0, 0)
+
+
+@behave.then('a run of {tokens:d} tokens goes to {name:w}')
+def goes_to(context, tokens, name):
+    chosen = engine_pairs.choose_engine(
+        _need(context, tokens), context.engines, context.sums
+    )
+    assert chosen.upstream == name, chosen
+
+
+@behave.then('a run of {tokens:d} tokens waits')
+def run_waits(context, tokens):
+    assert (
+        engine_pairs.choose_engine(
+            _need(context, tokens), context.engines, context.sums
+        )
+        is None
+    )
+
+
+@behave.then(
+    'a run of {tokens:d} tokens and {output:d} of output, {kind}, '
+    'goes to {name:w}'
+)
+def long_goes_to(context, tokens, output, kind, name):
+    need = _need(context, tokens, output, kind == 'with a copy')
+    chosen = engine_pairs.choose_engine(need, context.engines, context.sums)
+    assert chosen.upstream == name, chosen
+
+
+def _copy(context, tokens, source, must_fit):
+    place = engine_pairs.Place(source, 'r', 'z')
+    return engine_pairs.choose_copy(
+        tokens, place, context.engines, context.sums, must_fit
+    )
+
+
+@behave.then(
+    'the copy of a run of {tokens:d} tokens on {source:w} is kept on {name:w}'
+)
+def copy_on(context, tokens, source, name):
+    assert _copy(context, tokens, source, True).upstream == name
+
+
+@behave.then(
+    'the copy of a run of {tokens:d} tokens on {source:w} is kept nowhere'
+)
+def copy_nowhere(context, tokens, source):
+    assert _copy(context, tokens, source, True) is None
+
+
+@behave.then(
+    'a run of {tokens:d} tokens on {source:w} that has to leave is copied '
+    'to {name:w}'
+)
+def copy_leaving(context, tokens, source, name):
+    assert _copy(context, tokens, source, False).upstream == name
+
+
+@behave.then(
+    'a run of {tokens:d} tokens on x, which is not listed, is copied to b or a'
+)
+def copy_unlisted(context, tokens):
+    assert _copy(context, tokens, 'x', False).upstream in 'ab'
+
+
+@behave.given('commitments of this VM and of peer p, told at 0 ms')
+def two_books(context):
+    context.book = commitments.Commitments()
+    context.book.commit('r1', commitments.Commitment('a', None, 100, 50))
+    theirs = {'a': commitments.EngineSums(2, 500, 0, 0)}
+    context.book.take_peer('p', theirs, 0.0)
+
+
+@behave.then('the sums of engine a at {now_ms:d} ms hold the runs of both')
+def sums_of_both(context, now_ms):
+    assert context.book.sums('a', now_ms).runs == 3
+
+
+@behave.then('the sums of engine a at {now_ms:d} ms hold those of this VM')
+def sums_of_one(context, now_ms):
+    assert context.book.sums('a', now_ms).runs == 1
+
+
+@behave.given('8 VMs that each place a run a second on 5 engines')
+def many_vms(context):
+    context.engines = [_engine(f'e{n}', 'r', 10**6) for n in range(5)]
+
+
+def _simulate(context, told):
+    """Return the largest share of an engine over the mean, at any time."""
+    generator = random.Random(3)
+    books = [commitments.Commitments() for _ in range(8)]
+    arrivals = sorted(
+        (generator.uniform(0, 8_000), vm, n)
+        for vm in range(8)
+        for n in range(8)
+    )
+    for now_ms, vm, number in arrivals:
+        engine = engine_pairs.choose_engine(
+            _need(context, 3_000), context.engines, books[vm].all_sums(now_ms)
+        )
+        books[vm].commit(
+            (vm, number),
+            commitments.Commitment(engine.upstream, None, 3_000, 0),
+        )
+        if told:
+            for other, book in enumerate(books):
+                if other != vm:
+                    book.take_peer(f'v{vm}', books[vm].own_sums(), now_ms)
+    counts = [
+        sum(
+            run.upstream == engine.upstream
+            for book in books
+            for run in book.runs.values()
+        )
+        for engine in context.engines
+    ]
+    return max(counts) / (sum(counts) / len(counts))
+
+
+@behave.when('their sums are told 40 ms after each placement')
+def sums_told(context):
+    context.told = _simulate(context, True)
+    context.share = context.told
+
+
+@behave.when('their sums are never told')
+def sums_untold(context):
+    context.share = _simulate(context, False)
+
+
+@behave.then('no engine has more than 1.5 times the mean of runs')
+def evenly(context):
+    assert context.share <= 1.5, context.share
+
+
+@behave.then('some engine has more runs than with them told')
+def unevenly(context):
+    assert context.share > context.told, (context.share, context.told)
+
+
+@behave.given('a queue in which a rank-1 and then a rank-0 run wait')
+def waiting_queue(context):
+    context.queue = engine_queue.EngineQueue(health.HealthBook())
+    for rank in (1, 0):
+        context.queue.submit(
+            engine_queue.Order(
+                ids.RequestId(f'q{rank}'),
+                SERVICE,
+                rank,
+                engine_pairs.Need('r', 900, 0, False),
+                frozenset(),
+                5_000.0,
+            )
+        )
+    assert context.queue.step(0.0) == []
+
+
+@behave.when('room for one run comes')
+def room_comes(context):
+    context.queue.engines = {SERVICE: [_engine('a', 'r', 1_000)]}
+    context.told = context.queue.step(1_000.0)
+
+
+@behave.then('the rank-0 run is placed')
+def urgent_first(context):
+    assert [t.request for t in context.told] == ['q0'], context.told
+
+
+@behave.when('the time of the other is over')
+def time_over(context):
+    context.told = context.queue.step(5_000.0)
+
+
+@behave.then('the other is refused')
+def other_refused(context):
+    assert isinstance(context.told[0], engine_queue.Refusal)
+    assert context.told[0].request == 'q1'
--- /dev/null
+++ b/tests/steps/requests_forwarded_stream.py
@@ -0,0 +1,168 @@
+"""Steps on forwarded streams."""
+
+import behave
+
+from eelgrassknot.requests import stream_messages as messages
+from eelgrassknot import states
+from tests import stream_world
+
+
+def _start(context, resumable, holder):
+    context.world = stream_world.StreamWorld(resumable)
+    context.world.tell(messages.Placed(stream_world.upstream('e1')))
+    copy = stream_world.upstream(holder) if holder else None
+    context.world.tell(messages.CopyPlaced(1, copy))
+    context.attempt = 1
+
+
+@behave.given('a stream that runs on e1 with a copy on {holder}')
+def given_copied(context, holder):
+    _start(context, False, holder)
+
+
+@behave.given('a stream that runs on e1 without a copy')
+def given_alone(context):
+    _start(context, False, None)
+
+
+@behave.given('a resumable stream that runs on e1')
+def given_resumable(context):
+    _start(context, True, None)
+
+
+@behave.given('events {first:d} to {last:d} have come')
+def events_came(context, first, last):
+    context.world.tell(messages.Headed(1, True))
+    for index in range(first, last + 1):
+        context.world.tell(messages.Received(1, index, b'%d' % index))
+
+
+@behave.when('the engine breaks off')
+def breaks_off(context):
+    attempt = context.world.last(messages.Send).attempt
+    context.world.tell(messages.Broken(attempt, True))
+
+
+@behave.when('the engine says that it did not run it')
+def says_not_run(context):
+    context.world.tell(messages.NotRun(1))
+
+
+@behave.when('it is placed on {name}')
+def is_placed(context, name):
+    context.world.tell(messages.Placed(stream_world.upstream(name)))
+
+
+@behave.when('the new attempt is answered')
+def is_answered(context):
+    attempt = context.world.last(messages.Send).attempt
+    context.world.tell(messages.Headed(attempt, True))
+
+
+@behave.when('the new attempt is refused')
+def is_refused(context):
+    attempt = context.world.last(messages.Send).attempt
+    context.world.tell(messages.NotRun(attempt))
+
+
+@behave.when('event {index:d} comes')
+def event_comes(context, index):
+    attempt = context.world.last(messages.Send).attempt
+    context.world.tell(messages.Received(attempt, index, b'%d' % index))
+
+
+@behave.when('e1 is about to leave and {span_ms:d} ms have passed')
+def is_leaving(context, span_ms):
+    told = context.world.tell(messages.UpstreamLeaving('e1'))
+    told = told + context.world.wait(span_ms)
+    context.world.latest = told
+
+
+@behave.when('{span_ms:d} ms have passed')
+def time_passes(context, span_ms):
+    context.world.wait(span_ms)
+
+
+@behave.when('a copy named {handle} was made on {name}')
+def copy_made(context, handle, name):
+    target = stream_world.upstream(name)
+    context.world.tell(messages.MoveEnded(target, handle))
+
+
+@behave.then(
+    'the stream is sent to {name} to go on after event {index:d} from its copy'
+)
+def goes_on(context, name, index):
+    _check_send(context, name, index, f'{name}:1/q')
+
+
+@behave.then(
+    "the stream is sent to {name} to go on after event {index:d} from e1's "
+    'copy {handle}'
+)
+def goes_on_handle(context, name, index, handle):
+    _check_send(context, name, index, f'e1:1/{handle}')
+
+
+@behave.then('the stream is sent to {name} to run anew after event {index:d}')
+def runs_anew(context, name, index):
+    _check_send(context, name, index, None)
+
+
+def _check_send(context, name, index, continue_from):
+    sends = [a for a in context.world.latest if isinstance(a, messages.Send)]
+    assert len(sends) == 1, context.world.latest
+    assert sends[0].upstream.upstream == name, sends
+    assert sends[0].last_event == index, sends
+    assert sends[0].continue_from == continue_from, sends
+
+
+@behave.then('event {index:d} is forwarded')
+def is_forwarded(context, index):
+    assert context.world.latest == [messages.Forward(b'%d' % index)]
+
+
+@behave.then('nothing is forwarded')
+def nothing_forwarded(context):
+    assert context.world.latest == [], context.world.latest
+
+
+@behave.then('the stream is broken off')
+def is_broken_off(context):
+    assert isinstance(context.world.latest[-1], messages.BreakOff)
+
+
+@behave.then('the caller is told that the outcome is unknown')
+def is_unknown(context):
+    end = context.world.latest[-1]
+    assert isinstance(end, messages.Fail), end
+    assert end.outcome is states.Outcome.UNKNOWN, end
+
+
+@behave.then('another engine than {name} is wanted')
+def another_wanted(context, name):
+    assert context.world.latest == [messages.Place(frozenset([name]))]
+
+
+@behave.then('a place for a copy is wanted')
+def copy_wanted(context):
+    assert isinstance(context.world.latest[-1], messages.PlaceMove)
+
+
+@behave.then('the first attempt still runs')
+def first_runs(context):
+    assert messages.Cancel(1) not in context.world.actions
+
+
+@behave.then('the first attempt is cancelled')
+def first_cancelled(context):
+    assert messages.Cancel(1) in context.world.latest
+
+
+@behave.then('{count:d} random histories of streams keep these promises')
+def histories_hold(context, count):
+    for seed in range(count):
+        try:
+            stream_world.play_history(seed)
+        except AssertionError as error:
+            raise AssertionError(f'seed {seed}: {error}') from error
