Metrics, a log writer that waits for nobody, reload; tests of the whole path

A process of the entry VM runs against a stand-in of the users' platform: both framings, kept connections, late and forged answers, crash and leaving of engines, revocation, broken requests, SIGTERM, reload. libcurl runs a call twice in the same situation, which is why calls are forwarded on own sockets.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -22,8 +22,10 @@
 from eelgrassknot.forwarding import forwarder as forwarders
 from eelgrassknot.forwarding import knowledge
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import peer_news
+from eelgrassknot.forwarding import settings_reload
 from eelgrassknot.forwarding import upstream_link
 from eelgrassknot.forwarding import work as works
 from eelgrassknot import ids
@@ -37,6 +39,9 @@
 __all__ = ['EntryDaemon', 'main']
 
 SETTINGS_VARIABLE = 'EELGRASSKNOT_BOOT'
+LOG_LINES_PER_S = 400
+"""Log lines a second beyond which ordinary ones are left out. A VM that
+serves ten times today's requests writes half of them."""
 ASSUMED_VMS = 6
 """Entry VMs among which the retry budget is split until peers are known."""
 DRAIN_ACCEPT_MS = 3_000.0
@@ -185,6 +190,12 @@
         """Count what a peer has at each upstream."""
         self.news.take(vm, news)
 
+    def settings_changed(self, settings: entry_settings.EntrySettings) -> None:
+        """Put the rules of changed settings in force."""
+        self.settings = settings
+        self.knowledge.access_book.revoke_ms = settings.rules.revoke_ms
+        logs.set_level(settings.log_level)
+
 
 class _OperatorsServer:
     """Answers the balancer's question and the metrics' reader."""
@@ -202,6 +213,9 @@
             status = 200 if self.daemon.is_ready else 503
             exchange.respond(status, [], b'')
         elif path == b'/metrics':
+            daemon = self.daemon
+            metrics.IN_HAND.set(daemon.forwarder.in_hand)
+            metrics.WAITING.set(len(daemon.desk.queue.waiting))
             exchange.respond(200, [], prometheus_client.generate_latest())
         else:
             exchange.respond(404, [], b'')
@@ -234,18 +248,20 @@
     if check:
         typer.echo('the settings can be used')
         return
-    logs.configure(loaded.log_level, sys.stdout)
+    writer = logs.configure(loaded.log_level, sys.stdout, LOG_LINES_PER_S)
     registry.load_plugins('eelgrassknot.platform')
     daemon = EntryDaemon(loaded, dialects.DIALECTS.lookup(dialect))
+    reloader = settings_reload.Reloader(settings, loaded, daemon)
+    reloader.start()
     signal.signal(
         signal.SIGTERM, lambda *_: daemon.loop.call_soon(daemon.drain)
     )
     signal.signal(
         signal.SIGHUP,
-        lambda *_: daemon.loop.call_soon(lambda: logs.event('reload')),
+        lambda *_: daemon.loop.call_soon(reloader.reload),
     )
     daemon.run()
-    sys.stdout.flush()
+    writer.close()
     # Watches may wait in a call; nothing of theirs is left to be done.
     os._exit(0)
 
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -2,8 +2,10 @@
 
 import functools
 
+from eelgrassknot import clock as clocks
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
 from eelgrassknot.forwarding import upstream_link
@@ -127,6 +129,7 @@
             self._end('broken')
             return
         self._judge_upstream(False)
+        metrics.ATTEMPT_FAULTS.labels(fault.value).inc()
         logs.event(
             'attempt_failed',
             request=self.work.request,
@@ -263,6 +266,12 @@
         if self.attempt is not None:
             self.attempt.cancel()
         self.context.plain_pool.release(self.work.request)
+        total_ms = self.context.loop.now_ms() - self.work.started_ms
+        kind = self.work.route.kind.value
+        metrics.REQUESTS.labels(kind, reason).inc()
+        metrics.REQUEST_SECONDS.labels(kind).observe(
+            total_ms / clocks.MS_PER_SECOND
+        )
         logs.event(
             'call_ended',
             request=self.work.request,
@@ -270,9 +279,7 @@
             upstream=self.upstream.upstream if self.upstream else None,
             reason=reason,
             attempts=self.machine.attempt,
-            total_ms=round(
-                self.context.loop.now_ms() - self.work.started_ms, 1
-            ),
+            total_ms=round(total_ms, 1),
         )
 
     def _arm(self) -> None:
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from eelgrassknot.forwarding import call_driver
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot.forwarding import dialect as dialects
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
 from eelgrassknot.forwarding import routing
@@ -61,6 +62,7 @@
         self.limits = state.limits
         self.routes = routing.RouteTable(state.routes)
         self.book.replace(state.accounts)
+        metrics.STATE_VERSION.set(state.version)
         logs.event(
             'state_adopted',
             version=state.version,
@@ -169,6 +171,7 @@
             state_version=self.state.version if self.state else None,
             known_age_ms=round(self.loop.now_ms() - self.book.known_ms),
         )
+        metrics.REFUSALS.labels(reason).inc()
         outcome = states.Outcome.INVALID
         retry_after_ms = None
         if status == 503:
--- /dev/null
+++ b/eelgrassknot/forwarding/metrics.py
@@ -0,0 +1,66 @@
+"""Counters and histograms of the forwarding path."""
+
+import prometheus_client
+
+__all__ = [
+    'ATTEMPT_FAULTS',
+    'COPIES',
+    'IN_HAND',
+    'LINKS_OPENED',
+    'REFUSALS',
+    'REQUESTS',
+    'REQUEST_SECONDS',
+    'STATE_VERSION',
+    'STORE_CALLS',
+    'TAKEOVERS',
+    'WAITING',
+]
+
+REQUESTS = prometheus_client.Counter(
+    'eelgrassknot_requests',
+    'Requests that were forwarded, by kind of route and end',
+    ['kind', 'outcome'],
+)
+REFUSALS = prometheus_client.Counter(
+    'eelgrassknot_refusals',
+    'Requests that were not forwarded, by reason',
+    ['reason'],
+)
+REQUEST_SECONDS = prometheus_client.Histogram(
+    'eelgrassknot_request_seconds',
+    'Time to the end of a call, or to the first event of a stream',
+    ['kind'],
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0),
+)
+ATTEMPT_FAULTS = prometheus_client.Counter(
+    'eelgrassknot_attempt_faults',
+    'Attempts without a whole answer, by fault',
+    ['fault'],
+)
+TAKEOVERS = prometheus_client.Counter(
+    'eelgrassknot_takeovers',
+    'Streams that went on at another engine',
+)
+COPIES = prometheus_client.Counter(
+    'eelgrassknot_copies',
+    'Copies of runs that were made on request, by outcome',
+    ['outcome'],
+)
+LINKS_OPENED = prometheus_client.Counter(
+    'eelgrassknot_upstream_connections_opened',
+    'Connections opened to upstreams',
+)
+STORE_CALLS = prometheus_client.Counter(
+    'eelgrassknot_store_calls',
+    'Calls to the store, by outcome',
+    ['outcome'],
+)
+IN_HAND = prometheus_client.Gauge(
+    'eelgrassknot_requests_in_hand', 'Requests that are being served'
+)
+WAITING = prometheus_client.Gauge(
+    'eelgrassknot_streams_waiting', 'Streams that wait for an engine'
+)
+STATE_VERSION = prometheus_client.Gauge(
+    'eelgrassknot_state_version', 'Version of the state in force'
+)
--- /dev/null
+++ b/eelgrassknot/forwarding/settings_reload.py
@@ -0,0 +1,85 @@
+"""Reads the settings again when told to, or when their file has changed."""
+
+import pathlib
+import typing
+
+from eelgrassknot import exceptions
+from eelgrassknot.forwarding import loop as loops
+from eelgrassknot import logs
+from eelgrassknot.settings import entry as entry_settings
+
+__all__ = ['Reloader']
+
+CHECK_MS = 2_000.0
+"""How often the file is looked at; ms. Changes need not be announced."""
+
+
+class Daemon(typing.Protocol):
+    """What a reload needs of the daemon."""
+
+    loop: loops.EventLoop
+
+    def settings_changed(self, settings: entry_settings.EntrySettings) -> None:
+        """Put changed settings in force."""
+
+
+class Reloader:
+    """Keeps the settings of a daemon up to date.
+
+    A file that cannot be used changes nothing and is said so in the log;
+    what only a start can change stays as it is, and is said so too.
+
+    Args:
+        path: Path of the settings file.
+        settings: Settings in force.
+        daemon: The daemon.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        settings: entry_settings.EntrySettings,
+        daemon: Daemon,
+    ) -> None:
+        self.path = path
+        self.settings = settings
+        self.daemon = daemon
+        self.seen = self._look()
+
+    def start(self) -> None:
+        """Begin to look at the file."""
+        self.daemon.loop.call_later(CHECK_MS, self._check)
+
+    def reload(self) -> None:
+        """Read the file and put what has changed in force."""
+        self.seen = self._look()
+        try:
+            loaded = entry_settings.load(self.path)
+        except exceptions.SettingsError as error:
+            logs.error('reload_failed', why=str(error))
+            return
+        fixed = [
+            name
+            for name in ('vm', 'availability_zone', 'region', 'listen')
+            if getattr(loaded, name) != getattr(self.settings, name)
+        ]
+        changed = loaded != self.settings
+        logs.event(
+            'reloaded', changed=changed, kept_until_start=','.join(fixed)
+        )
+        self.settings = loaded
+        if changed:
+            self.daemon.settings_changed(loaded)
+
+    def _check(self) -> None:
+        self.daemon.loop.call_later(CHECK_MS, self._check)
+        if self._look() != self.seen:
+            self.reload()
+
+    def _look(self) -> tuple[float, int] | None:
+        """Return what changes with the file, or None if it is not there."""
+        try:
+            found = pathlib.Path(self.path).stat()
+        except OSError:
+            return None
+        return found.st_mtime, found.st_size
--- a/eelgrassknot/forwarding/store_watch.py
+++ b/eelgrassknot/forwarding/store_watch.py
@@ -8,6 +8,7 @@
 import result
 
 from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import row_store
 from eelgrassknot import logs
 from eelgrassknot.requests import backoff
@@ -146,6 +147,7 @@
                 known=after,
             )
             return
+        metrics.STORE_CALLS.labels('answered').inc()
         self.whole_next = False
         returned, self.failing = self.failing, False
         self.jitter = self._new_jitter()
@@ -158,6 +160,7 @@
         self.stopped.wait(TAKE_IN_MS / clocks.MS_PER_SECOND)
 
     def _fail(self, error: row_store.StoreError) -> None:
+        metrics.STORE_CALLS.labels(error.code).inc()
         self.deliver(WatchFailed(self.table, error, not self.failing))
         self.failing = True
         self.stopped.wait(self.jitter.next_ms() / clocks.MS_PER_SECOND)
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -2,8 +2,10 @@
 
 import functools
 
+from eelgrassknot import clock as clocks
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
 from eelgrassknot.forwarding import run_move
@@ -325,6 +327,8 @@
             target=plan.target.upstream,
             handle=handle,
         )
+        outcome = 'made' if handle is not None else 'failed'
+        metrics.COPIES.labels(outcome).inc()
         self.tell(messages.MoveEnded(plan.target, handle))
 
     def _start_answer(self, attempt: _StreamAttempt) -> None:
@@ -383,9 +387,15 @@
         self.context.desk.withdraw(self.work.request)
         self.context.desk.release(self.work.request)
         self.context.desk.streams.discard(self)
+        kind = self.work.route.kind.value
+        metrics.REQUESTS.labels(kind, reason).inc()
+        metrics.TAKEOVERS.inc(self.machine.takeovers)
         first_ms = self.first_event_ms
         if first_ms is not None:
             first_ms = round(first_ms - self.work.started_ms, 1)
+            metrics.REQUEST_SECONDS.labels(kind).observe(
+                first_ms / clocks.MS_PER_SECOND
+            )
         logs.event(
             'stream_ended',
             request=self.work.request,
@@ -402,6 +412,7 @@
         )
 
     def _log_attempt(self, attempt: _StreamAttempt, fault: str) -> None:
+        metrics.ATTEMPT_FAULTS.labels(fault).inc()
         logs.event(
             'attempt_failed',
             request=self.work.request,
--- a/eelgrassknot/forwarding/upstream_link.py
+++ b/eelgrassknot/forwarding/upstream_link.py
@@ -8,6 +8,7 @@
 
 from eelgrassknot.forwarding import connection as connections
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
 from eelgrassknot import ids
 from eelgrassknot import logs
 
@@ -93,13 +94,12 @@
         loop: The loop that serves them.
 
     Attributes:
-        opened: Connections opened so far.
+        idle: Connections that are kept for later, by address.
     """
 
     def __init__(self, loop: loops.EventLoop) -> None:
         self.loop = loop
         self.idle: dict[str, list[_Link]] = collections.defaultdict(list)
-        self.opened = 0
 
     def acquire(self, address: str, proven: bool) -> _Link:
         """Return a connection, a new one if no kept one will do.
@@ -120,7 +120,7 @@
                 link.is_new = False
                 return link
             link.connection.close()
-        self.opened += 1
+        metrics.LINKS_OPENED.inc()
         return _Link(self, address)
 
     def release(self, link: _Link, keep_ms: float) -> None:
--- a/eelgrassknot/logs.py
+++ b/eelgrassknot/logs.py
@@ -10,12 +10,15 @@
 from absl import flags
 from absl import logging
 
+from eelgrassknot import log_writer
+
 __all__ = [
     'configure',
     'error',
     'event',
     'exception',
     'format_pairs',
+    'set_level',
     'warning',
 ]
 
@@ -26,21 +29,40 @@
 )
 
 
-def configure(level: str, stream: typing.TextIO | None = None) -> None:
+def configure(
+    level: str,
+    stream: typing.TextIO | None = None,
+    lines_per_s: int | None = None,
+) -> log_writer.LogWriter | None:
     """Send log lines at and above a level to a stream.
 
     Args:
         level: One of ``debug``, ``info``, ``warning`` and ``error``.
         stream: Where they go; standard error if None.
+        lines_per_s: If given, a thread writes the lines, at most so many
+            ordinary ones a second, and nobody waits for the stream.
+
+    Returns:
+        The writer, to be closed at the end, if there is one.
     """
     # absl warns of each line that comes before its flags are parsed; the
     # daemon takes its settings from a file and has no absl flags.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = stream or sys.stderr
+    stream = stream or sys.stderr
+    writer = None
+    if lines_per_s is not None:
+        writer = log_writer.LogWriter(stream, lines_per_s)
+    handler.python_handler.stream = writer or stream
     handler.setFormatter(_LineFormatter())
     logging.set_verbosity(level)
+    return writer
+
+
+def set_level(level: str) -> None:
+    """Change from which level on lines are written."""
+    logging.set_verbosity(level)
 
 
 def format_pairs(name: str, pairs: dict[str, object]) -> str:
--- /dev/null
+++ b/tests/steps/forwarding_knowledge.py
@@ -0,0 +1,335 @@
+"""Steps on what a VM knows from the store and its peers."""
+
+import doctest
+import importlib
+import pkgutil
+import random
+
+import behave
+
+from eelgrassknot.forwarding import access
+from eelgrassknot.forwarding import directory as directories
+from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import routing
+from eelgrassknot.forwarding import row_store
+from eelgrassknot.forwarding import sse
+from eelgrassknot.forwarding import table_mirror
+from eelgrassknot import states
+
+
+@behave.then('at least {count:d} examples of "{package}" run')
+def examples(context, count, package):
+    root = importlib.import_module(package)
+    attempted = 0
+    for module in pkgutil.iter_modules(root.__path__):
+        name = f'{package}.{module.name}'
+        outcome = doctest.testmod(importlib.import_module(name))
+        assert outcome.failed == 0, name
+        attempted += outcome.attempted
+    assert attempted >= count, attempted
+
+
+@behave.given(
+    "a store clock {ahead:d} ms ahead of the VM's, and calls that take "
+    '{least:d} to {most:d} ms'
+)
+def clock_ahead(context, ahead, least, most):
+    context.ahead, context.least, context.most = ahead, least, most
+
+
+@behave.then(
+    'no answer is ever taken for newer than it is, and none for over '
+    '{slack:d} ms older'
+)
+def never_newer(context, slack):
+    generator = random.Random(5)
+    for _ in range(50):
+        clock = access.StoreClock()
+        now_ms = 0.0
+        clock.observe(now_ms, now_ms + 10, now_ms + 5 + context.ahead)
+        for _ in range(40):
+            now_ms += generator.uniform(1, 2_000)
+            there_ms = generator.uniform(context.least, context.most) / 2
+            back_ms = generator.uniform(context.least, context.most) / 2
+            answered_ms = now_ms + there_ms
+            store_ms = answered_ms + context.ahead
+            clock.observe(now_ms, answered_ms + back_ms, store_ms)
+            as_of_ms = clock.local_ms(store_ms)
+            assert as_of_ms <= answered_ms, (as_of_ms, answered_ms)
+            assert as_of_ms >= answered_ms - slack, (as_of_ms, answered_ms)
+
+
+@behave.given('a store clock that was seen {ahead:d} ms ahead')
+def seen_ahead(context, ahead):
+    context.clock = access.StoreClock()
+    context.clock.observe(0.0, 10.0, ahead + 5.0)
+
+
+@behave.when('it is seen {ahead:d} ms ahead')
+def seen_again(context, ahead):
+    context.ahead = ahead
+    context.clock.observe(100.0, 110.0, ahead + 105.0)
+
+
+@behave.then('a store time is mapped by the new bound')
+def mapped(context):
+    assert context.clock.local_ms(context.ahead + 200.0) == 195.0
+
+
+def _book(bound):
+    book = access.AccessBook(bound)
+    book.replace((model.Account('acme', ('k1', 'k2')),))
+    return book
+
+
+@behave.given(
+    'a book of keys with a bound of {bound:d} ms, current as of {as_of:d} ms'
+)
+def bounded_book(context, bound, as_of):
+    context.book = _book(bound)
+    context.book.confirm(as_of)
+
+
+@behave.given('a book of keys without a bound')
+def unbounded_book(context):
+    context.book = _book(None)
+
+
+@behave.when('it is confirmed as of {as_of:d} ms')
+def confirmed(context, as_of):
+    context.book.confirm(as_of)
+
+
+@behave.then('the key {key:w} is {standing} at {now_ms:d} ms')
+def key_is(context, key, standing, now_ms):
+    expected = {
+        'open': access.Standing.OPEN,
+        'unknown': access.Standing.UNKNOWN_KEY,
+        'out of date': access.Standing.OUT_OF_DATE,
+    }[standing]
+    assert context.book.judge(key, now_ms)[0] is expected
+
+
+class _Truth:
+    """A table of the store with all of its history."""
+
+    def __init__(self, generator):
+        self.generator = generator
+        self.version = 1
+        self.rows = {}
+        self.log = []
+
+    def change(self):
+        self.version += self.generator.randint(1, 3)
+        key = self.generator.choice('abcde')
+        deleted = key in self.rows and self.generator.random() < 0.4
+        value = b'' if deleted else str(self.version).encode()
+        row = row_store.StoreRow(key, value, self.version, deleted)
+        self.log.append(row)
+        if deleted:
+            del self.rows[key]
+        else:
+            self.rows[key] = row
+
+    def whole(self):
+        return row_store.RowPage(
+            tuple(self.rows.values()), self.version, float(self.version)
+        )
+
+    def changes(self, after):
+        rows = tuple(row for row in self.log if row.version > after)
+        return row_store.RowPage(rows, self.version, float(self.version))
+
+
+@behave.then(
+    '{count:d} random histories of a table end with what the store holds'
+)
+def mirrors_end(context, count):
+    for seed in range(count):
+        _play_mirrors(random.Random(seed))
+
+
+def _play_mirrors(generator):
+    truth = _Truth(generator)
+    mirrors = [table_mirror.TableMirror() for _ in range(3)]
+    delayed = []
+    for _ in range(60):
+        mirror = generator.choice(mirrors)
+        choice = generator.random()
+        if choice < 0.35:
+            truth.change()
+        elif choice < 0.45:
+            delayed.append((None, truth.whole()))
+        elif choice < 0.65 and mirror.mark is not None:
+            after = mirror.mark.version
+            delayed.append((after, truth.changes(after)))
+        elif choice < 0.80 and delayed:
+            position = generator.randrange(len(delayed))
+            after, page = delayed.pop(position)
+            _take(mirror, after, page)
+        else:
+            _tell(generator.choice(mirrors), mirror)
+        for each in mirrors:
+            _check_mirror(truth, each)
+    for mirror in mirrors:
+        _take(mirror, None, truth.whole())
+        assert mirror.rows == truth.rows
+
+
+def _take(mirror, after, page):
+    if after is None:
+        mirror.take_whole(page, page.version)
+    else:
+        mirror.take_changes(after, page)
+
+
+def _tell(sender, receiver):
+    """Have one VM tell another what it knows, as peers do."""
+    if sender.mark is None or receiver.confirm(sender.mark):
+        return
+    page = row_store.RowPage(
+        tuple(sender.rows.values()),
+        sender.mark.version,
+        sender.mark.store_ms,
+    )
+    receiver.take_whole(page, sender.mark.changed)
+
+
+def _check_mirror(truth, mirror):
+    """A mirror holds just what the store held at the mirror's version."""
+    if mirror.mark is None:
+        return
+    rows = {}
+    for row in truth.log:
+        if row.version <= mirror.mark.version:
+            rows.pop(row.key, None)
+            if not row.deleted:
+                rows[row.key] = row
+    assert mirror.rows == rows, (mirror.rows, rows, mirror.mark)
+
+
+@behave.given('a mirror that knows the table up to version 9')
+def mirror_at_9(context):
+    context.mirror = table_mirror.TableMirror()
+    row = row_store.StoreRow('a', b'new', 9, False)
+    page = row_store.RowPage((row,), 9, 90.0)
+    context.mirror.take_whole(page, 9)
+
+
+@behave.when('the whole table as of version 7 comes')
+def older_whole(context):
+    row = row_store.StoreRow('a', b'old', 7, False)
+    page = row_store.RowPage((row,), 7, 70.0)
+    context.changes = context.mirror.take_whole(page, 7)
+
+
+@behave.then('the mirror is unchanged')
+def mirror_unchanged(context):
+    assert context.changes is None
+    assert context.mirror.rows['a'].value == b'new'
+    assert context.mirror.mark.store_ms == 90.0
+
+
+def _upstream(name, started_ms=1):
+    return model.Upstream(
+        upstream=name,
+        service='s',
+        kind=states.ServiceKind.PLAIN,
+        address='10.0.0.1:80',
+        availability_zone='z',
+        region='r',
+        state=states.UpstreamState.LIVE,
+        slots=4,
+        warm_up_ms=0.0,
+        started_at_ms=started_ms,
+    )
+
+
+@behave.given('a directory with the upstream u1')
+def directory_with(context):
+    context.left = []
+    context.directory = directories.UpstreamDirectory(context.left.append)
+    context.directory.put(_upstream('u1'), 0.0)
+
+
+@behave.when('the store has returned at {now_ms:d} ms')
+def store_returned(context, now_ms):
+    context.directory.store_returned(now_ms)
+
+
+@behave.when('the entry u1 goes at {now_ms:d} ms')
+def entry_goes(context, now_ms):
+    context.directory.remove('u1', now_ms)
+
+
+@behave.when('the entry u1 comes back at {now_ms:d} ms')
+def entry_back(context, now_ms):
+    context.directory.put(_upstream('u1'), now_ms)
+
+
+@behave.when('the entry u1 comes back with a later start')
+def entry_restarted(context):
+    context.directory.put(_upstream('u1', 2), 100.0)
+
+
+@behave.then('u1 is listed at {now_ms:d} ms')
+def is_listed(context, now_ms):
+    context.directory.step(now_ms)
+    assert 'u1' in context.directory.upstreams
+    assert context.left == []
+
+
+@behave.then('u1 is gone at {now_ms:d} ms and streams are told')
+def is_gone(context, now_ms):
+    context.directory.step(now_ms)
+    assert 'u1' not in context.directory.upstreams
+    assert context.left == ['u1']
+
+
+@behave.then('streams are told that u1 has left')
+def told_left(context):
+    assert context.left == ['u1']
+    assert 'u1' in context.directory.upstreams
+
+
+def _route(name, prefix):
+    return model.Route(
+        name=name,
+        host='a.example',
+        prefix=prefix,
+        kind=model.RouteKind.SAFE,
+        shares=(),
+        timeout_ms=1.0,
+        objective_ms=1.0,
+        priority=0,
+        max_attempts=1,
+    )
+
+
+@behave.then('{target} at {host} takes {name:w}')
+def takes_route(context, target, host, name):
+    table = routing.RouteTable(
+        (_route('short', '/x/'), _route('long', '/x/y/'))
+    )
+    found = table.find(host, target)
+    assert (found.name if found else 'none') == name, found
+
+
+@behave.then('{count:d} random cuts of a stream give the same events')
+def random_cuts(context, count):
+    ends = ('\n\n', '\r\n\r\n')
+    generator = random.Random(2)
+    for _ in range(count):
+        events = [
+            f'id: {n}{end[: len(end) // 2]}data: {"x" * n}{end}'.encode()
+            for n, end in enumerate(generator.choices(ends, k=9), 1)
+        ]
+        data = b''.join(events)
+        splitter = sse.EventSplitter()
+        found = []
+        while data:
+            size = generator.randint(1, 12)
+            found += splitter.feed(data[:size])
+            data = data[size:]
+        assert found == events, found
+        assert [sse.event_index(e) for e in found] == list(range(1, 10))
--- /dev/null
+++ b/tests/steps/forwarding_whole_path.py
@@ -0,0 +1,421 @@
+"""Steps on the whole path with a real entry VM."""
+
+import io
+import itertools
+import json
+import re
+import signal
+import time
+
+import behave
+import pycurl
+
+from standins import users_platform
+from tests import entry_process
+
+SOON_S = 5.0
+_numbers = itertools.count(1)
+
+
+@behave.given("the platform's stand-in with two servers of each service")
+def given_platform(context):
+    context.platform = users_platform.Platform()
+    context.add_cleanup(context.platform.stop)
+    context.platform.put_state(users_platform.desired_state(1))
+    context.desks = [
+        context.platform.start_upstream(f'd{n}', 'desk') for n in (1, 2)
+    ]
+    context.engines = [
+        context.platform.start_upstream(f'w{n}', 'writer') for n in (1, 2)
+    ]
+
+
+@behave.given('an entry VM that is ready')
+def given_entry(context):
+    context.entry = entry_process.EntryProcess(context.platform.address)
+    context.add_cleanup(context.entry.stop)
+    context.entry.wait_ready()
+
+
+def _caller(context):
+    caller = entry_process.Caller(context.entry.ports['callers'])
+    context.add_cleanup(caller.stream.close)
+    return caller
+
+
+def _headers(key='key-one', **more):
+    context_id = f'q{next(_numbers)}'
+    return {'Request-Id': context_id, 'Credential': key, **more}
+
+
+def _book(context, caller=None, key='key-one', body=b'{}', chunked=False):
+    headers = _headers(key)
+    caller = caller or _caller(context)
+    answer = caller.ask('POST', '/book/x', headers, body, chunked)
+    return headers['Request-Id'], answer
+
+
+def _look(context, caller, key='key-one'):
+    headers = _headers(key)
+    return headers['Request-Id'], caller.ask('GET', '/look/x', headers)
+
+
+def _own_answer(request, answer):
+    return answer.body.startswith(f'answer to {request} '.encode())
+
+
+@behave.when('a booking with a body in {framing} is sent')
+def book_with_body(context, framing):
+    context.body = bytes(range(256)) * 8
+    context.request, context.answer = _book(
+        context, body=context.body, chunked=framing == 'chunks'
+    )
+
+
+@behave.then('the answer is whole and the server saw the same body')
+def whole_answer(context):
+    assert context.answer.status == 200, context.entry.log()
+    wanted = f'answer to {context.request} '.encode() + context.body
+    assert context.answer.body == wanted
+    (body,) = [body for desk in context.desks for body in desk.bodies]
+    assert body == context.body
+
+
+@behave.then('the server saw the account and not the key')
+def account_seen(context):
+    (seen,) = [seen for desk in context.desks for seen in desk.seen]
+    assert seen['Tenant'] == 'acme', seen
+    assert 'key-one' not in str(seen), seen
+
+
+@behave.given('the next answer but one of each server vanishes')
+def vanishes(context):
+    for desk in context.desks:
+        desk.faults = ['', 'vanish']
+
+
+@behave.when('bookings are sent until one is not answered')
+def book_until(context):
+    caller = _caller(context)
+    for _ in range(8):
+        context.request, context.answer = _book(context, caller)
+        if context.answer.status != 200:
+            return
+
+
+@behave.then('that one is answered 502 and has run once')
+def answered_502(context):
+    _check_booking(context, 502)
+
+
+def _check_booking(context, status):
+    assert context.answer.status == status, context.answer.status
+    assert context.platform.runs[context.request] == 1
+    if status != 200:
+        assert 'server-stamp' not in context.answer.headers
+
+
+@behave.when('libcurl sends two calls to one server on a kept connection')
+def libcurl_sends(context):
+    handle = pycurl.Curl()
+    desk = context.desks[0]
+    for request in ('c1', 'c2'):
+        handle.setopt(pycurl.URL, f'http://{desk.address}/book/x')
+        handle.setopt(pycurl.POSTFIELDS, '{}')
+        handle.setopt(
+            pycurl.HTTPHEADER,
+            [f'Request-Id: {request}', f'Expect-Instance: {desk.name}'],
+        )
+        handle.setopt(pycurl.WRITEFUNCTION, io.BytesIO().write)
+        handle.perform()
+    handle.close()
+
+
+@behave.then('the second has run twice')
+def ran_twice(context):
+    assert context.platform.runs['c2'] == 2, context.platform.runs
+
+
+@behave.given('the next request at one server is shed')
+def next_shed(context):
+    context.desks[0].faults = ['shed']
+
+
+@behave.when('{count:d} bookings are sent')
+def many_bookings(context, count):
+    caller = _caller(context)
+    context.booked = [_book(context, caller) for _ in range(count)]
+
+
+@behave.then('all are answered 200 and each has run once')
+def all_booked(context):
+    for request, answer in context.booked:
+        assert answer.status == 200, answer.status
+        assert context.platform.runs[request] == 1
+
+
+@behave.given('each server answers the next 6 requests twice')
+def answers_twice(context):
+    for desk in context.desks:
+        desk.faults = ['extra'] * 6
+
+
+@behave.when('{count:d} lookups are sent on one connection')
+def many_lookups(context, count):
+    caller = _caller(context)
+    context.looked = []
+    for _ in range(count):
+        context.looked.append(_look(context, caller))
+        time.sleep(0.06)
+
+
+@behave.then('each lookup gets its own answer')
+def own_answers(context):
+    for request, answer in context.looked:
+        assert answer.status == 200, answer.status
+        assert _own_answer(request, answer), answer.body
+
+
+@behave.given('the next answer of each server is {fault}')
+def next_fault(context, fault):
+    for desk in context.desks:
+        desk.faults = [fault]
+
+
+@behave.given('the next answer of one server is cut')
+def one_cut(context):
+    context.desks[0].faults = ['cut']
+
+
+@behave.when('a booking is sent')
+def book_once(context):
+    context.request, context.answer = _book(context)
+
+
+@behave.then('it is answered {status:d} and has run once')
+def booked_as(context, status):
+    _check_booking(context, status)
+
+
+def _read_stream(context, count, act):
+    caller = _caller(context)
+    headers = _headers(**{'Token-Counts': '1000,160'})
+    context.request = headers['Request-Id']
+    caller.send('POST', '/write/x', headers, b'{}')
+    caller.wait_events(count)
+    engine = next(
+        engine
+        for engine in context.engines
+        if any(s['Request-Id'] == context.request for s in engine.seen)
+    )
+    context.engine = engine
+    act(engine, caller)
+    return caller
+
+
+@behave.when('a stream is read and its engine crashes after {count:d} events')
+def stream_crash(context, count):
+    caller = _read_stream(context, count, lambda e, _: e.crash())
+    context.answer = caller.read()
+
+
+@behave.when(
+    'a stream is read and its engine says after {count:d} events that it '
+    'leaves'
+)
+def stream_leave(context, count):
+    caller = _read_stream(context, count, lambda e, _: e.tell('draining'))
+    context.answer = caller.read()
+
+
+@behave.when('a stream is read and SIGTERM comes after {count:d} events')
+def stream_term(context, count):
+    process = context.entry.process
+    caller = _read_stream(
+        context, count, lambda *_: process.send_signal(signal.SIGTERM)
+    )
+    context.answer = caller.read()
+
+
+@behave.then('all 40 events come once and in order and it has run once')
+def all_events(context):
+    assert context.answer.status == 200
+    assert context.answer.is_whole, context.entry.log()
+    found = [int(n) for n in re.findall(rb'id: (\d+)', context.answer.body)]
+    assert found == list(range(1, 41)), found
+    stamp = context.answer.headers['server-stamp']
+    assert stamp == f's-{context.request}'
+    assert context.platform.runs[context.request] == 1
+
+
+@behave.when('a stream is read and the caller leaves after {count:d} events')
+def caller_leaves(context, count):
+    _read_stream(context, count, lambda _, caller: caller.stream.close())
+
+
+@behave.then('its engine soon has no connection of it')
+def engine_free(context):
+    def ended():
+        return 'reason=caller_left' in context.entry.log()
+
+    entry_process.wait_until(ended, 0.5, context.entry.log)
+
+
+@behave.then('an unknown key gets 401, an unknown path 404')
+def refused(context):
+    caller = _caller(context)
+    assert _book(context, caller, key='nobody')[1].status == 401
+    answer = caller.ask('GET', '/nowhere/x', _headers())
+    assert answer.status == 404
+    assert json.loads(answer.body)['error']['outcome'] == 'invalid'
+
+
+@behave.when('a state without the route look is accepted')
+def without_route(context):
+    state = users_platform.desired_state(5)
+    state['routes'] = [r for r in state['routes'] if r['name'] != 'look']
+    context.platform.put_state(state)
+
+
+@behave.then('a lookup is soon answered 404 while a booking is served')
+def soon_404(context):
+    caller = _caller(context)
+    entry_process.wait_until(
+        lambda: _look(context, caller)[1].status == 404, SOON_S, 'a 404'
+    )
+    assert _book(context, caller)[1].status == 200
+
+
+@behave.when('the store goes away and 5 s have passed')
+def store_away(context):
+    context.platform.is_down = True
+    time.sleep(5.0)
+
+
+@behave.then('a booking is refused with 503 and Retry-After')
+def refused_503(context):
+    _, answer = _book(context)
+    assert answer.status == 503, answer.status
+    assert float(answer.headers['retry-after']) > 0
+    assert json.loads(answer.body)['error']['outcome'] == 'not_run'
+
+
+@behave.when('the store is back with a state without the key key-two')
+def store_back(context):
+    state = users_platform.desired_state(7)
+    state['tenants'][0]['apiKeys'] = ['key-one']
+    context.platform.put_state(state)
+    context.platform.is_down = False
+
+
+@behave.then('the key key-two soon gets 401 and the key key-one is served')
+def key_gone(context):
+    caller = _caller(context)
+
+    def is_refused():
+        _, answer = _book(context, caller, key='key-two')
+        assert answer.status != 200
+        return answer.status == 401
+
+    entry_process.wait_until(is_refused, SOON_S, 'a 401')
+    assert _book(context, caller)[1].status == 200
+
+
+@behave.when('entries of servers that cannot be read are written')
+def bad_entries(context):
+    bad = (b'', b'[', b'{"service": 4}', b'\xff\xfe', b'{}')
+    for number, value in enumerate(bad):
+        context.platform.put('servers', f'bad-{number}', value)
+
+
+@behave.when('a new server of the desk is listed')
+def new_desk(context):
+    context.desk = context.platform.start_upstream('d9', 'desk')
+
+
+@behave.then('it soon gets bookings')
+def gets_bookings(context):
+    caller = _caller(context)
+
+    def has_some():
+        assert _book(context, caller)[1].status == 200
+        return bool(context.desk.seen)
+
+    entry_process.wait_until(has_some, SOON_S, context.entry.log)
+
+
+def _raw(context, data):
+    caller = _caller(context)
+    caller.stream.sendall(data)
+    return caller.read().status
+
+
+@behave.then('these requests are answered so')
+def answered_so(context):
+    head = b'POST /book/x HTTP/1.1\r\nHost: a.example\r\n'
+    requests = {
+        'garbage': b'what is this\r\n\r\n',
+        'two framings': head + b'Content-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        'large body': head + b'Content-Length: 70000\r\n\r\n',
+        'large head': head + b'X: ' + b'x' * 40_000,
+        'slow head': head,
+    }
+    for row in context.table:
+        status = _raw(context, requests[row['request']])
+        assert status == int(row['status']), (row['request'], status)
+
+
+@behave.then('a booking is served')
+def booking_served(context):
+    assert _book(context)[1].status == 200
+
+
+@behave.then('the VM says it is not ready and ends with code 0')
+def ends(context):
+    assert not context.entry.is_ready()
+    assert context.entry.process.wait(timeout=10) == 0, context.entry.log()
+
+
+@behave.then('the log has a line of its end with its id, upstream and time')
+def log_line(context):
+    line = rf'event=call_ended .*{context.request} .*upstream=d\d .*total_ms='
+    entry_process.wait_until(
+        lambda: re.search(line, context.entry.log()),
+        SOON_S,
+        context.entry.log,
+    )
+
+
+@behave.then('the metrics count it')
+def metrics_count(context):
+    with entry_process.Caller(context.entry.ports['metrics']) as caller:
+        body = caller.ask('GET', '/metrics', {}).body.decode()
+    found = re.search(
+        r'eelgrassknot_requests_total\{kind="unsafe",outcome="status_200"\} '
+        r'([\d.]+)',
+        body,
+    )
+    assert found and float(found.group(1)) == 1.0, body
+
+
+@behave.when('the settings file is spoilt and SIGHUP comes')
+def settings_spoilt(context):
+    context.settings = context.entry.settings_path.read_text()
+    context.entry.settings_path.write_text('{')
+    context.entry.process.send_signal(signal.SIGHUP)
+
+
+@behave.when('the settings file is changed without a signal')
+def settings_changed(context):
+    document = json.loads(context.settings)
+    document['rules']['revoke_ms'] = 6_000
+    context.entry.settings_path.write_text(json.dumps(document))
+
+
+@behave.then('the log has a line "{text}" and a booking is served')
+def logged_and_served(context, text):
+    entry_process.wait_until(
+        lambda: text in context.entry.log(), SOON_S, context.entry.log
+    )
+    assert _book(context)[1].status == 200
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -1,9 +1,12 @@
 """Steps on the form of log lines."""
 
 import ast
+import io
+import threading
 
 import behave
 
+from eelgrassknot import log_writer
 from eelgrassknot import logs
 
 
@@ -12,3 +15,71 @@
     found = logs.format_pairs('e', {'key': ast.literal_eval(value)})
     assert found == line.replace('\\\\', '\\'), found
     assert len(found.splitlines()) == 1
+
+
+class _Blocked(io.StringIO):
+    """A stream that stands still until it is released."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait()
+        return super().write(text)
+
+
+@behave.given('a log writer whose stream takes nothing')
+def blocked_writer(context):
+    context.stream = _Blocked()
+    context.writer = log_writer.LogWriter(context.stream, 10**9)
+
+
+@behave.when(
+    '{ordinary:d} ordinary lines and {warnings:d} warnings are logged'
+)
+def many_lines(context, ordinary, warnings):
+    for number in range(ordinary):
+        context.writer.write(f'level=INFO n={number}\n')
+    for number in range(warnings):
+        context.writer.write(f'level=WARNING n={number}\n')
+
+
+@behave.then('none had to wait for it and the warnings are kept')
+def all_taken(context):
+    assert not context.stream.released.is_set()
+    context.stream.released.set()
+    context.writer.close(5.0)
+    assert context.stream.getvalue().count('level=WARNING n=') == 100
+
+
+@behave.given('a log writer that takes 100 lines a second')
+def limited_writer(context):
+    context.stream = io.StringIO()
+    context.now_s = 10.0
+    context.writer = log_writer.LogWriter(
+        context.stream, 100, lambda: context.now_s
+    )
+
+
+@behave.when(
+    '{ordinary:d} ordinary lines and {warnings:d} warnings are logged in '
+    'one second'
+)
+def lines_in_second(context, ordinary, warnings):
+    for number in range(ordinary):
+        context.writer.write(f'level=INFO n={number}\n')
+    for number in range(warnings):
+        context.writer.write(f'level=WARNING n={number}\n')
+    context.writer.close()
+
+
+@behave.then(
+    '{ordinary:d} ordinary lines, {warnings:d} warnings and one count of '
+    '{count:d} are written'
+)
+def lines_written(context, ordinary, warnings, count):
+    text = context.stream.getvalue()
+    assert text.count('level=INFO') == ordinary, text.count('level=INFO')
+    assert text.count('level=WARNING n=') == warnings
+    assert text.count(f'event=lines_left_out count={count}\n') == 1
