--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -158,6 +158,7 @@
         in_hand = self.forwarder.in_hand
         if in_hand == 0 or self.loop.now_ms() >= self.drain_until_ms:
             logs.event('drained', in_hand=in_hand)
+            self.forwarder.break_off('grace_over')
             self.loop.stop()
             return
         self.loop.call_later(DRAIN_STEP_MS, self._drain_step)
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -63,7 +63,7 @@
 
     def start(self) -> None:
         """Place the call."""
-        self.work.exchange.gone = self._caller_left
+        self.work.exchange.gone = self._end
         self.context.budget(self.work.service.name).earn()
         self._place(None)
         self._arm()
@@ -256,9 +256,6 @@
                 self.upstream.upstream, self.context.loop.now_ms()
             )
 
-    def _caller_left(self) -> None:
-        self._end('caller_left')
-
     def _end(self, reason: str) -> None:
         for timer in (self.timer, self.attempt_timer):
             if timer is not None:
--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -67,7 +67,7 @@
     """One request of a caller and the answer to it.
 
     Attributes:
-        gone: Called once if the caller leaves before the end.
+        gone: Called once with the reason if the exchange ends early.
         is_over: Whether the answer is complete or the caller has left.
         started: Whether the head of the answer was sent.
     """
@@ -77,7 +77,7 @@
     ) -> None:
         self.connection = connection
         self.request = request
-        self.gone: collections.abc.Callable[[], None] | None = None
+        self.gone: collections.abc.Callable[[str], None] | None = None
         self.is_over = False
         self.started = False
 
@@ -118,13 +118,13 @@
         self.is_over = True
         self.connection.abort()
 
-    def leave(self) -> None:
-        """Take in that the caller has left."""
+    def end_early(self, reason: str) -> None:
+        """Take in that the answer can't be brought to its end."""
         if self.is_over:
             return
         self.is_over = True
         if self.gone is not None:
-            self.gone()
+            self.gone(reason)
 
 
 class CallerConnection(connections.Handler):
@@ -174,7 +174,7 @@
         self._stop_timer()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            exchange.leave()
+            exchange.end_early('caller_left')
         self.server.forget(self)
 
     def send(self, event: h11.Event) -> None:
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -85,6 +85,14 @@
         for connection in list(self.connections):
             connection.close_idle()
 
+    def break_off(self, reason: str) -> None:
+        """End what is in hand, visibly incomplete."""
+        for connection in list(self.connections):
+            exchange = connection.exchange
+            if exchange is not None:
+                connection.abort()
+                exchange.end_early(reason)
+
     def handle(self, exchange: caller_connection.Exchange) -> None:
         """Check a request and forward it."""
         headers = self.context.dialect.caller_headers(exchange.request.headers)
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -121,7 +121,7 @@
 
     def start(self) -> None:
         """Place the stream."""
-        self.work.exchange.gone = self._caller_left
+        self.work.exchange.gone = self._end
         self.context.budget(self.work.service.name).earn()
         self.context.desk.streams.add(self)
         self._place(frozenset())
@@ -373,9 +373,6 @@
             )
         self._end(action.reason)
 
-    def _caller_left(self) -> None:
-        self._end('caller_left')
-
     def _end(self, reason: str) -> None:
         if self.timer is not None:
             self.timer.cancel()
