--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -149,6 +149,7 @@
         self.exchange: Exchange | None = None
         self.timer: loops.Timer | None = None
         self.rejected = False
+        self.awaits_first_byte = False
         self.link = connections.Connection.accepted(server.loop, stream, self)
         self._expect_head()
 
@@ -163,6 +164,8 @@
             return
         self.parser.receive_data(data)
         if self.exchange is None:
+            if self.awaits_first_byte:
+                self._expect_rest_of_head()
             self._read_events()
         elif len(self.parser.trailing_data[0]) > self.limits.body_bytes:
             self.abort()
@@ -245,6 +248,9 @@
         self.head = head
         self.head_ms = self.server.loop.now_ms()
         self.body = bytearray()
+        # The limit on the time of a head does not hold for the body.
+        self._stop_timer()
+        self._start_timer(self.limits.idle_timeout_ms)
         found = dict(head.headers)
         if b'transfer-encoding' in found and b'content-length' in found:
             raise h11.RemoteProtocolError('two framings of one body')
@@ -317,11 +323,17 @@
         self.server.loop.call_later(LINGER_MS, self._close)
 
     def _expect_head(self) -> None:
-        self._stop_timer()
         if self.parser.trailing_data[0]:
-            self._start_timer(self.limits.header_timeout_ms)
-        else:
-            self._start_timer(self.limits.idle_timeout_ms * IDLE_MARGIN)
+            self._expect_rest_of_head()
+            return
+        self._stop_timer()
+        self.awaits_first_byte = True
+        self._start_timer(self.limits.idle_timeout_ms * IDLE_MARGIN)
+
+    def _expect_rest_of_head(self) -> None:
+        self._stop_timer()
+        self.awaits_first_byte = False
+        self._start_timer(self.limits.header_timeout_ms)
 
     def _start_timer(self, delay_ms: float) -> None:
         self.timer = self.server.loop.call_later(delay_ms, self._timed_out)
