--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -343,6 +343,7 @@
             # The successor goes on from here, whatever became of this.
             return []
         if not bytes_left:
+            self.runs_begun -= 1
             return self._place_again()
         return self._after_lost_run(now_ms)
 
--- a/tests/requests/forwarded_stream.feature
+++ b/tests/requests/forwarded_stream.feature
@@ -92,3 +92,11 @@
       | not run is said only if no attempt may have run               |
       | a time-out is never due at a time that has been acted on      |
       | an attempt that is followed by another is cancelled           |
+
+  Scenario: an engine that was not reached does not count as one that ran it
+    Given a resumable stream that runs on e1
+    When the engine is not reached
+    And it is placed on e2
+    And the engine breaks off
+    And it is placed on e3
+    Then the stream is sent to e3 to run anew from its start
--- a/tests/steps/requests_forwarded_stream.py
+++ b/tests/steps/requests_forwarded_stream.py
@@ -166,3 +166,14 @@
             stream_world.play_history(seed)
         except AssertionError as error:
             raise AssertionError(f'seed {seed}: {error}') from error
+
+
+@behave.when('the engine is not reached')
+def is_not_reached(context):
+    attempt = context.world.last(messages.Send).attempt
+    context.world.tell(messages.Broken(attempt, False))
+
+
+@behave.then('the stream is sent to {name} to run anew from its start')
+def runs_from_start(context, name):
+    _check_send(context, name, None, None)
