--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -265,6 +265,10 @@
                 messages.CopyPlaced(send.attempt, attempt.copy),
                 self.context.loop.now_ms(),
             )
+        now_ms = self.context.loop.now_ms()
+        sums = self.context.desk.queue.commitments.sums(
+            send.upstream.upstream, now_ms
+        )
         logs.event(
             'stream_sent',
             request=self.work.request,
@@ -273,6 +277,9 @@
             copy=attempt.copy.upstream if attempt.copy else None,
             continue_from=send.continue_from,
             after=send.last_event,
+            since_ms=round(now_ms - self.work.started_ms, 1),
+            engine_runs=sums.runs,
+            engine_tokens=sums.tokens + sums.copy_tokens,
         )
         attempt.wire = works.send(
             self.context,
