A table is stale only after a watch would have answered

Cause: the limit on staleness was shorter than the wait for changes of the upstreams, so that every VM read the table itself while nothing changed: 3,732 calls on a grown site with 68 VMs. Change: the limit follows each table's wait; waits of 1.5 and 2.5 s.

--- a/eelgrassknot/forwarding/knowledge.py
+++ b/eelgrassknot/forwarding/knowledge.py
@@ -28,15 +28,16 @@
 
 __all__ = ['Knowledge', 'Listener']
 
-CONFIG_WAIT_MS = 1_000.0
-"""How long one call waits for a new state; ms. Three of them, and their
+CONFIG_WAIT_MS = 1_500.0
+"""How long one call waits for a new state; ms. Two of them, and their
 answers, fit into the least bound on revoked keys."""
-UPSTREAMS_WAIT_MS = 3_000.0
+UPSTREAMS_WAIT_MS = 2_500.0
 """How long one call waits for a change of the upstreams; ms."""
 BEHIND_MS = 30.0
 """Time that this VM's own watch has to bring what a peer knows; ms."""
-STALE_MS = 1_600.0
-"""A table that nobody has confirmed for so long is watched here; ms."""
+STALE_MARGIN_MS = 700.0
+"""A table that nobody has confirmed for so much longer than a watch waits
+is watched here; ms. Covers an answer, and a message of a peer."""
 PEER_LIVE_MS = 1_500.0
 """A peer counts as live for so long after its last message; ms."""
 STEP_MS = 250.0
@@ -318,7 +319,8 @@
         if mark is None:
             return True
         known_ms = self.store_clock.local_ms(mark.store_ms)
-        if self.loop.now_ms() - known_ms > STALE_MS:
+        stale_ms = self.tables[name].watch.wait_ms + STALE_MARGIN_MS
+        if self.loop.now_ms() - known_ms > stale_ms:
             return True
         zone = self.settings.availability_zone
         members = [
