The retry burst is split by the VMs that are known

Change: each VM saves the burst divided by the VMs ever heard of, six at least; the scenario of the shrinking budget.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -33,7 +33,6 @@
 from eelgrassknot import logs
 from eelgrassknot.policy import health
 from eelgrassknot.policy import plain
-from eelgrassknot.policy import retry_budget
 from eelgrassknot.settings import entry as entry_settings
 
 __all__ = ['EntryDaemon', 'main']
@@ -43,7 +42,7 @@
 """Log lines a second beyond which ordinary ones are left out. A VM that
 serves ten times today's requests writes half of them."""
 ASSUMED_VMS = 6
-"""Entry VMs among which the retry budget is split until peers are known."""
+"""Entry VMs among which the retry budget is split while fewer are known."""
 DRAIN_ACCEPT_MS = 3_000.0
 """How long after SIGTERM idle connections stay open; ms. The balancer
 sends none after two of its questions, one a second."""
@@ -84,11 +83,8 @@
             book=book,
             plain_pool=self.plain_pool,
             desk=self.desk,
-            new_budget=functools.partial(
-                retry_budget.RetryBudget,
-                settings.rules.retry_ratio,
-                settings.rules.retry_burst / ASSUMED_VMS,
-            ),
+            retry_ratio=settings.rules.retry_ratio,
+            retry_burst=self._retry_burst,
         )
         self.forwarder = forwarders.Forwarder(
             self.context, self.knowledge.access_book, self.generator
@@ -139,6 +135,15 @@
         self.loop.run()
         logs.event('stopped', vm=self.settings.vm)
 
+    def _retry_burst(self) -> float:
+        """Return this VM's share of the repeats that all may save.
+
+        VMs that were heard of once count for good: one that is cut off
+        may still be serving.
+        """
+        vms = max(ASSUMED_VMS, len(self.knowledge.board.heard_ms) + 1)
+        return self.settings.rules.retry_burst / vms
+
     def drain(self) -> None:
         """Finish what is in hand, then end."""
         if self.forwarder.draining:
--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -35,7 +35,9 @@
         plain_pool: Chooses upstreams of plain services.
         desk: Chooses engines.
         budgets: Retry budget of each service.
-        new_budget: Makes the budget of a service met for the first time.
+        retry_ratio: Repeats that a request of a service earns.
+        retry_burst: Returns how many repeats this VM may save: its share
+            of what all VMs may make together.
     """
 
     loop: loops.EventLoop
@@ -45,15 +47,20 @@
     book: health.HealthBook
     plain_pool: plain.PlainPool
     desk: 'engine_desk.EngineDesk'
-    new_budget: collections.abc.Callable[[], retry_budget.RetryBudget]
+    retry_ratio: float
+    retry_burst: collections.abc.Callable[[], float]
     budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = (
         dataclasses.field(default_factory=dict)
     )
 
     def budget(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
         """Return the retry budget of a service."""
+        burst = self.retry_burst()
         if service not in self.budgets:
-            self.budgets[service] = self.new_budget()
+            self.budgets[service] = retry_budget.RetryBudget(
+                self.retry_ratio, burst
+            )
+        self.budgets[service].limit(burst)
         return self.budgets[service]
 
 
--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -31,6 +31,15 @@
         self.max_saved = max_saved
         self.saved = max_saved
 
+    def limit(self, max_saved: float) -> None:
+        """Change how many retries are saved at most.
+
+        Args:
+            max_saved: This VM's share of what all VMs may save.
+        """
+        self.max_saved = max_saved
+        self.saved = min(self.saved, max_saved)
+
     def earn(self) -> None:
         """Count a first attempt."""
         self.saved = min(self.max_saved, self.saved + self.retries_per_request)
--- a/tests/policy/small_parts.feature
+++ b/tests/policy/small_parts.feature
@@ -43,3 +43,7 @@
     Then the limit is 36
     When 20 quiet seconds pass
     Then the limit is between 40 and 50
+
+  Scenario: a retry budget that more VMs share shrinks at once
+    Then a full budget of 10 retries allows 4 once its share is 4
+    And 20 requests earn 4 retries, and no more are saved
--- a/tests/steps/policy_small_parts.py
+++ b/tests/steps/policy_small_parts.py
@@ -14,6 +14,7 @@
 from eelgrassknot.policy import prefill_lane
 from eelgrassknot.policy import prefix
 from eelgrassknot.policy import region_budget
+from eelgrassknot.policy import retry_budget
 from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
@@ -233,3 +234,32 @@
 def small_waits(context, bound_s):
     profile = queued('next', 'small').profile
     assert context.queue.expected_wait_ms(profile) < bound_s * 1_000
+
+
+@behave.then(
+    'a full budget of {full:d} retries allows {share:d} once its share is '
+    '{limit:d}'
+)
+def shrunk_budget(context, full, share, limit):
+    context.budget = retry_budget.RetryBudget(0.2, full)
+    context.budget.limit(limit)
+    assert _spend_all(context.budget) == share
+
+
+@behave.then(
+    '{requests:d} requests earn {retries:d} retries, and no more are saved'
+)
+def earned_retries(context, requests, retries):
+    for _ in range(requests):
+        context.budget.earn()
+    assert _spend_all(context.budget) == retries
+    for _ in range(10 * requests):
+        context.budget.earn()
+    assert _spend_all(context.budget) == context.budget.max_saved
+
+
+def _spend_all(budget):
+    count = 0
+    while budget.spend():
+        count += 1
+    return count
