--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -5,6 +5,7 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import machine_driver
 from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
@@ -27,7 +28,7 @@
 _NO_RETRIED_STATUSES: frozenset[int] = frozenset()
 
 
-class CallDriver(upstream_link.AttemptListener):
+class CallDriver(machine_driver.MachineDriver, upstream_link.AttemptListener):
     """Drives the state machine of one call.
 
     Args:
@@ -36,12 +37,10 @@
     """
 
     def __init__(self, context: works.Context, work: works.Work) -> None:
-        self.context = context
-        self.work = work
         call_class = messages.CallClass.ONCE
         if work.route.is_idempotent:
             call_class = messages.CallClass.IDEMPOTENT
-        self.machine = plain_call.PlainCall(
+        machine = plain_call.PlainCall(
             work.request,
             call_class,
             work.deadline_ms,
@@ -52,13 +51,13 @@
                 _NO_RETRIED_STATUSES,
             ),
         )
+        super().__init__(context, work, machine)
         self.attempt: upstream_link.Attempt | None = None
         self.upstream: model.Upstream | None = None
         self.status = 0
         self.answer_headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.passing = False
-        self.timer: loops.Timer | None = None
         self.attempt_timer: loops.Timer | None = None
 
     def start(self) -> None:
@@ -66,7 +65,7 @@
         self.work.exchange.gone = self._end
         self.context.budget(self.work.service.name).earn()
         self._place(None)
-        self._arm()
+        self.arm()
 
     # What the attempt tells
 
@@ -142,9 +141,9 @@
     # What the state machine wants
 
     def _tell(self, event: messages.Event) -> None:
-        for action in self.machine.handle(event, self.context.loop.now_ms()):
+        for action in self.machine.handle(event, self.now_ms()):
             self._act(action)
-        self._arm()
+        self.arm()
 
     def _act(self, action: messages.Action) -> None:
         match action:
@@ -179,7 +178,7 @@
             max_tokens=None,
             deadline_ms=self.work.deadline_ms,
         )
-        match pool.place(profile, failed, self.context.loop.now_ms()):
+        match pool.place(profile, failed, self.now_ms()):
             case policy_messages.Dispatch(_, upstream, crosses_region):
                 self._tell(messages.Placed(upstream, crosses_region))
             case policy_messages.Refuse(_, reason, retry_after_ms):
@@ -195,9 +194,7 @@
             functools.partial(self._facts, action.upstream),
             action.proven,
         )
-        if action.timeout_ms < self.work.deadline_ms - (
-            self.context.loop.now_ms()
-        ):
+        if action.timeout_ms < self.work.deadline_ms - (self.now_ms()):
             self.attempt_timer = self.context.loop.call_later(
                 action.timeout_ms, self._attempt_timed_out
             )
@@ -252,18 +249,16 @@
         if good:
             self.context.book.succeeded(self.upstream.upstream)
         else:
-            self.context.book.failed(
-                self.upstream.upstream, self.context.loop.now_ms()
-            )
+            self.context.book.failed(self.upstream.upstream, self.now_ms())
 
     def _end(self, reason: str) -> None:
-        for timer in (self.timer, self.attempt_timer):
-            if timer is not None:
-                timer.cancel()
+        self.disarm()
+        if self.attempt_timer is not None:
+            self.attempt_timer.cancel()
         if self.attempt is not None:
             self.attempt.cancel()
         self.context.plain_pool.release(self.work.request)
-        total_ms = self.context.loop.now_ms() - self.work.started_ms
+        total_ms = self.now_ms() - self.work.started_ms
         kind = self.work.route.kind.value
         metrics.REQUESTS.labels(kind, reason).inc()
         metrics.REQUEST_SECONDS.labels(kind).observe(
@@ -279,16 +274,6 @@
             total_ms=round(total_ms, 1),
         )
 
-    def _arm(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.work.exchange.is_over:
-            return
-        self.timer = self.context.loop.call_at(
-            self.machine.wake_ms(), self._tick
-        )
-
-    def _tick(self) -> None:
-        self.timer = None
+    def tick(self) -> None:
+        """Tell the call that time has passed."""
         self._tell(messages.Tick())
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -4,7 +4,7 @@
 
 from eelgrassknot import clock as clocks
 from eelgrassknot.forwarding import dialect
-from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import machine_driver
 from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
@@ -88,7 +88,7 @@
         self.driver.take_break(self, fault, bytes_left)
 
 
-class StreamDriver:
+class StreamDriver(machine_driver.MachineDriver):
     """Drives the state machine of one stream.
 
     Args:
@@ -97,10 +97,8 @@
     """
 
     def __init__(self, context: works.Context, work: works.Work) -> None:
-        self.context = context
-        self.work = work
         engine = work.service.engine
-        self.machine = forwarded_stream.ForwardedStream(
+        machine = forwarded_stream.ForwardedStream(
             work.request,
             messages.StreamRules(
                 resumable=work.route.resumable,
@@ -112,8 +110,8 @@
             context.generator,
             work.headers.last_event,
         )
+        super().__init__(context, work, machine)
         self.attempts: dict[int, _StreamAttempt] = {}
-        self.timer: loops.Timer | None = None
         self.first_event_ms: float | None = None
         self.largest_gap_ms = 0.0
         self.heard_ms = work.started_ms
@@ -125,7 +123,7 @@
         self.context.budget(self.work.service.name).earn()
         self.context.desk.streams.add(self)
         self._place(frozenset())
-        self._arm()
+        self.arm()
 
     def upstream_leaving(self, upstream: str) -> None:
         """Take in that an upstream is about to leave or has left."""
@@ -135,9 +133,9 @@
 
     def tell(self, event: messages.Event) -> None:
         """Tell the state machine and do what it wants."""
-        for action in self.machine.handle(event, self.context.loop.now_ms()):
+        for action in self.machine.handle(event, self.now_ms()):
             self._act(action)
-        self._arm()
+        self.arm()
 
     def take_event(
         self, attempt: _StreamAttempt, index: int | None, data: bytes
@@ -154,9 +152,7 @@
         if not self.context.dialect.is_genuine(attempt.headers):
             self.take_break(attempt, upstream_link.Fault.MALFORMED, True)
             return
-        self.context.book.failed(
-            attempt.upstream.upstream, self.context.loop.now_ms()
-        )
+        self.context.book.failed(attempt.upstream.upstream, self.now_ms())
         self._log_attempt(attempt, f'status_{attempt.status}')
         self.tell(messages.Headed(attempt.number, False))
 
@@ -167,9 +163,7 @@
         bytes_left: bool,
     ) -> None:
         """Take in that an attempt ended early."""
-        self.context.book.failed(
-            attempt.upstream.upstream, self.context.loop.now_ms()
-        )
+        self.context.book.failed(attempt.upstream.upstream, self.now_ms())
         self._log_attempt(attempt, fault.value)
         self.tell(messages.Broken(attempt.number, bytes_left))
 
@@ -263,9 +257,9 @@
             )
             self.machine.handle(
                 messages.CopyPlaced(send.attempt, attempt.copy),
-                self.context.loop.now_ms(),
+                self.now_ms(),
             )
-        now_ms = self.context.loop.now_ms()
+        now_ms = self.now_ms()
         sums = self.context.desk.queue.commitments.sums(
             send.upstream.upstream, now_ms
         )
@@ -349,7 +343,7 @@
         self.work.exchange.start(attempt.status, headers)
 
     def _forward(self, data: bytes) -> None:
-        now_ms = self.context.loop.now_ms()
+        now_ms = self.now_ms()
         if self.first_event_ms is None:
             self.first_event_ms = now_ms
         else:
@@ -381,8 +375,7 @@
         self._end(action.reason)
 
     def _end(self, reason: str) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        self.disarm()
         for attempt in self.attempts.values():
             if attempt.wire is not None:
                 attempt.wire.cancel()
@@ -410,9 +403,7 @@
             last_event=self.machine.last_event,
             attempts=self.machine.attempt,
             takeovers=self.machine.takeovers,
-            total_ms=round(
-                self.context.loop.now_ms() - self.work.started_ms, 1
-            ),
+            total_ms=round(self.now_ms() - self.work.started_ms, 1),
         )
 
     def _log_attempt(self, attempt: _StreamAttempt, fault: str) -> None:
@@ -425,16 +416,6 @@
             fault=fault,
         )
 
-    def _arm(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.work.exchange.is_over:
-            return
-        self.timer = self.context.loop.call_at(
-            self.machine.wake_ms(), self._tick
-        )
-
-    def _tick(self) -> None:
-        self.timer = None
+    def tick(self) -> None:
+        """Tell the stream that time has passed."""
         self.tell(messages.Tick())
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -12,7 +12,6 @@
     'answered_request',
     'caller_headers',
     'forwarded_headers',
-    'instance_of_answer',
     'is_genuine',
     'says_not_run',
 ]
@@ -43,7 +42,6 @@
 SIGNATURE = b'server-stamp'
 # Present on an answer whose request the upstream did not run.
 NOT_RUN = b'not-executed'
-UPSTREAM_ID = b'instance-id'
 
 _HOP_BY_HOP = frozenset(
     [
@@ -158,12 +156,6 @@
     return status == MISDIRECTED or NOT_RUN in _lowered(headers)
 
 
-def instance_of_answer(headers: Headers) -> ids.UpstreamId | None:
-    """Return the upstream that an answer says it comes from."""
-    found = _text(_lowered(headers).get(UPSTREAM_ID))
-    return None if found is None else ids.UpstreamId(found)
-
-
 def _lowered(headers: Headers) -> dict[bytes, bytes]:
     return {name.lower(): value for name, value in headers}
 
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -18,6 +18,7 @@
 from eelgrassknot import ids
 from eelgrassknot.kernel import events as kernel_events
 from eelgrassknot.requests import stream_messages as messages
+from eelgrassknot.requests import stream_run
 from eelgrassknot import states
 
 __all__ = ['ForwardedStream']
@@ -37,8 +38,6 @@
 """Runs with a copy leave an engine within this time of its notice; ms.
 Engines give 1.5 s; all at once would delay each other, and some end before
 they have to leave. Runs without a copy need all the time there is."""
-COPY_RETRY_MS = 1_000.0
-"""Pause before another try to make a copy while none is needed yet; ms."""
 SILENCE_MS = 700.0
 """Events that stay away for so long are taken for a lost upstream, if
 there is a copy to go on from; ms."""
@@ -51,43 +50,6 @@
 NEVER_MS = float('inf')
 
 
-@dataclasses.dataclass(frozen=True)
-class _Copy:
-    """A copy of a run's memory.
-
-    Attributes:
-        holder: Engine that keeps it.
-        name: ``IP:port/name`` under which it is continued from.
-        usable_ms: When there is enough of it.
-        grows: Whether it grows by itself.
-        tries: How often it was continued from in vain.
-    """
-
-    holder: kernel_events.UpstreamInfo
-    name: str
-    usable_ms: float
-    grows: bool
-    tries: int = 0
-
-
-@dataclasses.dataclass
-class _Run:
-    """One attempt.
-
-    Attributes:
-        copy: Copy of the run's memory.
-        first_event_ms: When its first event came.
-        heard_ms: When it was last heard of.
-    """
-
-    attempt: int
-    upstream: kernel_events.UpstreamInfo
-    copy: _Copy | None = None
-    headed: bool = False
-    first_event_ms: float | None = None
-    heard_ms: float = 0.0
-
-
 class _Stage(enum.Enum):
     PLACING = 'placing'
     RUNNING = 'running'
@@ -127,8 +89,8 @@
         self.deadline_ms = deadline_ms
         self.last_event = last_event
         self.stage = _Stage.PLACING
-        self.run: _Run | None = None
-        self.successor: _Run | None = None
+        self.run: stream_run.Run | None = None
+        self.successor: stream_run.Run | None = None
         self.leaving: set[str] = set()
         self.failed: set[str] = set()
         self.attempt = 0
@@ -140,7 +102,7 @@
         self.switch_at_ms = NEVER_MS
         self.copy_at_ms = NEVER_MS
         self.refused_copies: set[str] = set()
-        self.tried_copy: _Copy | None = None
+        self.tried_copy: stream_run.MemoryCopy | None = None
         self.takeovers = 0
 
     def handle(
@@ -229,9 +191,9 @@
 
     def _next_run(
         self, upstream: kernel_events.UpstreamInfo, now_ms: float
-    ) -> _Run:
+    ) -> stream_run.Run:
         self.attempt += 1
-        return _Run(self.attempt, upstream, heard_ms=now_ms)
+        return stream_run.Run(self.attempt, upstream, heard_ms=now_ms)
 
     def _continue_at_copy(self, now_ms: float) -> list[messages.Action]:
         copy = self.run.copy
@@ -247,7 +209,7 @@
         if run is None or holder is None:
             return
         name = f'{holder.address}/{self.request}'
-        run.copy = _Copy(holder, name, NEVER_MS, grows=True)
+        run.copy = stream_run.MemoryCopy(holder, name, NEVER_MS, grows=True)
 
     # Answers
 
@@ -473,7 +435,9 @@
         run = self.run
         if event.handle is not None:
             name = f'{run.upstream.address}/{event.handle}'
-            run.copy = _Copy(event.target, name, now_ms, grows=False)
+            run.copy = stream_run.MemoryCopy(
+                event.target, name, now_ms, grows=False
+            )
             self.copy_at_ms = now_ms + COPY_REFRESH_MS
         elif self.must_leave and run.copy is not None:
             # It was not brought up to date, but will do.
@@ -532,7 +496,7 @@
             and run.heard_ms >= run.first_event_ms
         )
 
-    def _find(self, attempt: int) -> _Run | None:
+    def _find(self, attempt: int) -> stream_run.Run | None:
         for run in (self.run, self.successor):
             if run is not None and run.attempt == attempt:
                 return run
