--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -92,6 +92,7 @@
         self.news = peer_news.PeerNews(
             self.knowledge, self.desk, self.plain_pool, self.loop
         )
+        self.was_ready = False
         self.drain_until_ms: float | None = None
         self.listeners: list[connections.Listener] = []
 
@@ -105,6 +106,25 @@
             and self.knowledge.access_book.is_current(self.loop.now_ms())
         )
 
+    def tell_ready(self) -> bool:
+        """Return whether this VM is ready, and log it when that changes."""
+        ready = self.is_ready
+        if ready != self.was_ready:
+            self.was_ready = ready
+            book = self.knowledge.access_book
+            logs.event(
+                'ready' if ready else 'not_ready',
+                state_version=(
+                    self.forwarder.state.version
+                    if self.forwarder.state
+                    else None
+                ),
+                upstreams=len(self.knowledge.directory.upstreams),
+                known_age_ms=book.age_ms(self.loop.now_ms()),
+                draining=self.forwarder.draining,
+            )
+        return ready
+
     def run(self) -> None:
         """Serve until the daemon is told to end and has drained."""
         listen = self.settings.listen
@@ -216,7 +236,7 @@
         """Answer at once."""
         path = exchange.request.target.split(b'?')[0]
         if path == self.daemon.dialect.readiness_path:
-            status = 200 if self.daemon.is_ready else 503
+            status = 200 if self.daemon.tell_ready() else 503
             exchange.respond(status, [], b'')
         elif path == b'/metrics':
             daemon = self.daemon
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -12,7 +12,14 @@
 
 from standins import users_platform
 
-__all__ = ['Answer', 'Caller', 'EntryProcess', 'wait_until']
+__all__ = [
+    'Answer',
+    'Caller',
+    'EntryProcess',
+    'LISTENERS',
+    'free_ports',
+    'wait_until',
+]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
@@ -30,7 +37,8 @@
     raise AssertionError(f'not within {timeout_s} s: {what}')
 
 
-def _free_ports(count):
+def free_ports(count):
+    """Return ports that are free now."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind(('127.0.0.1', 0))
@@ -46,7 +54,7 @@
     def __init__(self, store, vm='vm-1', zone='z'):
         self.folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self.folder.name)
-        self.ports = dict(zip(LISTENERS, _free_ports(4), strict=True))
+        self.ports = dict(zip(LISTENERS, free_ports(4), strict=True))
         settings = folder / 'settings.json'
         self.settings_path = settings
         settings.write_text(
--- a/tests/forwarding/whole_path.feature
+++ b/tests/forwarding/whole_path.feature
@@ -101,7 +101,8 @@
   Scenario: logs tell of a request in one line with its id and reason
     When a booking is sent
     Then the log has a line of its end with its id, upstream and time
-    And the metrics count it
+    And the log has a line "event=ready state_version=1" and a booking is served
+    And the metrics count both
 
   Scenario: changed settings are put in force, unusable ones change nothing
     When the settings file is spoilt and SIGHUP comes
--- a/tests/steps/forwarding_whole_path.py
+++ b/tests/steps/forwarding_whole_path.py
@@ -387,7 +387,7 @@
     )
 
 
-@behave.then('the metrics count it')
+@behave.then('the metrics count both')
 def metrics_count(context):
     with entry_process.Caller(context.entry.ports['metrics']) as caller:
         body = caller.ask('GET', '/metrics', {}).body.decode()
@@ -396,7 +396,7 @@
         r'([\d.]+)',
         body,
     )
-    assert found and float(found.group(1)) == 1.0, body
+    assert found and float(found.group(1)) == 2.0, body
 
 
 @behave.when('the settings file is spoilt and SIGHUP comes')
