Interfaces of tables, objects and VM lists move to storage/

Cause: two folders, platform/ and platforms/, differed by one letter; the first translates the users' platform, the second holds the product's own interfaces. Change: platforms/ is storage/; no code changed but names of imports.

--- a/benchmarks/coordination/control_cost.py
+++ b/benchmarks/coordination/control_cost.py
@@ -31,7 +31,7 @@
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.coordination import rendezvous
 from eelgrassknot.coordination import rows
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 from tests.coordination import deployment
 
 __all__ = ['Cost', 'main', 'measure']
--- a/benchmarks/relay/node.py
+++ b/benchmarks/relay/node.py
@@ -9,7 +9,7 @@
 
 from benchmarks.relay import client
 from eelgrassknot.coordination import config_store
-from eelgrassknot.platforms import http as http_platform
+from eelgrassknot.storage import http as http_storage
 from standins import processes
 
 __all__ = ['BenchmarkNode', 'KEY']
@@ -91,7 +91,7 @@
         return True
 
     def _describe(self) -> None:
-        platform = http_platform.create(f'http://{self.platform}')
+        platform = http_storage.create(f'http://{self.platform}')
         text = msgspec.json.encode(_text()).decode()
         config_store.accept(platform.table, text, 'benchmark', 'c1').unwrap()
         host, _, engine_port = self.engine.rpartition(':')
--- a/eelgrassknot/cli/commands/audit.py
+++ b/eelgrassknot/cli/commands/audit.py
@@ -9,8 +9,8 @@
 from eelgrassknot.cli import times
 from eelgrassknot import clock as clocks
 from eelgrassknot.coordination import rows
-from eelgrassknot.platforms import base
 from eelgrassknot.reporting import audit as audit_reader
+from eelgrassknot.storage import base
 
 __all__ = ['audit']
 
--- a/eelgrassknot/cli/commands/orders.py
+++ b/eelgrassknot/cli/commands/orders.py
@@ -9,8 +9,8 @@
 from eelgrassknot.cli import console
 from eelgrassknot.coordination import order_rows
 from eelgrassknot.coordination import rows
-from eelgrassknot.platforms import base
 from eelgrassknot.reporting import rendering
+from eelgrassknot.storage import base
 
 __all__ = ['OrderBook', 'orders']
 
--- a/eelgrassknot/cli/commands/report.py
+++ b/eelgrassknot/cli/commands/report.py
@@ -12,11 +12,11 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot import ids
 from eelgrassknot.kernel import registry
-from eelgrassknot.platforms import base
 from eelgrassknot.reporting import messages
 from eelgrassknot.reporting import reader
 from eelgrassknot.reporting import rendering
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = ['report']
 
--- a/eelgrassknot/cli/commands/status.py
+++ b/eelgrassknot/cli/commands/status.py
@@ -11,10 +11,10 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot.coordination import config_store
 from eelgrassknot import http_client
-from eelgrassknot.platforms import base
 from eelgrassknot.reporting import reader
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = ['VmStatus', 'status']
 
--- a/eelgrassknot/cli/console.py
+++ b/eelgrassknot/cli/console.py
@@ -10,7 +10,7 @@
 
 from eelgrassknot import exceptions
 from eelgrassknot.kernel import registry
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = [
     'ExitCode',
@@ -82,7 +82,7 @@
         usage_error(
             'name the platform: eelgrassknot --platform http://IP:port'
         )
-    registry.load_plugins('eelgrassknot.platforms')
+    registry.load_plugins('eelgrassknot.storage')
     try:
         return base.PLATFORMS.lookup(plugin)(url)
     except exceptions.PluginError as error:
--- a/eelgrassknot/coordination/config.py
+++ b/eelgrassknot/coordination/config.py
@@ -18,7 +18,7 @@
 from eelgrassknot.coordination import text_diff
 from eelgrassknot import exceptions
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = [
     'Acceptance',
--- a/eelgrassknot/coordination/config_store.py
+++ b/eelgrassknot/coordination/config_store.py
@@ -9,7 +9,7 @@
 from eelgrassknot.coordination import rows
 from eelgrassknot import exceptions
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['accept', 'read_current', 'read_history', 'read_stamp']
 
--- a/eelgrassknot/coordination/lease_part.py
+++ b/eelgrassknot/coordination/lease_part.py
@@ -19,7 +19,7 @@
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
 from eelgrassknot import logs
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['LeaseEnded', 'LeaseHeld', 'LeasePart']
 
--- a/eelgrassknot/coordination/membership.py
+++ b/eelgrassknot/coordination/membership.py
@@ -17,8 +17,8 @@
 from eelgrassknot.coordination import membership_messages as messages
 from eelgrassknot.coordination import suspicion
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = [
     'Membership',
--- a/eelgrassknot/coordination/membership_messages.py
+++ b/eelgrassknot/coordination/membership_messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['Event', 'HeartbeatHeard', 'ListRead', 'PeerAddress', 'Tick']
 
--- a/eelgrassknot/coordination/order_part.py
+++ b/eelgrassknot/coordination/order_part.py
@@ -22,8 +22,8 @@
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
 from eelgrassknot import logs
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = ['OrdersPart']
 
--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -8,7 +8,7 @@
 
 from eelgrassknot.coordination import rows
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = [
     'CacheEntry',
--- a/eelgrassknot/coordination/upstream_membership.py
+++ b/eelgrassknot/coordination/upstream_membership.py
@@ -11,8 +11,8 @@
 
 from eelgrassknot import ids
 from eelgrassknot.kernel import events
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = [
     'LeavingHeard',
--- a/eelgrassknot/coordination/vm_audit_part.py
+++ b/eelgrassknot/coordination/vm_audit_part.py
@@ -19,7 +19,7 @@
 from eelgrassknot import ids
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['VmAuditPart']
 
--- a/eelgrassknot/coordination/vm_list.py
+++ b/eelgrassknot/coordination/vm_list.py
@@ -7,7 +7,7 @@
 
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['Listed', 'apply', 'difference']
 
--- a/eelgrassknot/coordination/vm_list_part.py
+++ b/eelgrassknot/coordination/vm_list_part.py
@@ -13,8 +13,8 @@
 from eelgrassknot.kernel import events
 from eelgrassknot.kernel import node as kernel_node
 from eelgrassknot.kernel import parts
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 __all__ = ['VmListPart', 'VmListRead']
 
--- a/eelgrassknot/daemon.py
+++ b/eelgrassknot/daemon.py
@@ -20,10 +20,10 @@
 from eelgrassknot.kernel import parts
 from eelgrassknot.kernel import registry
 from eelgrassknot import logs
-from eelgrassknot.platforms import base as platform_base
 from eelgrassknot.settings import check as settings_check
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
+from eelgrassknot.storage import base as storage_base
 
 __all__ = ['create_node', 'main', 'serve']
 
@@ -31,7 +31,7 @@
 BALANCER_LAG_MS = 2_000
 
 _PLUGIN_PACKAGES = (
-    'eelgrassknot.platforms',
+    'eelgrassknot.storage',
     'eelgrassknot.upstreams',
     'eelgrassknot.coordination',
     'eelgrassknot.frontend',
@@ -50,7 +50,7 @@
     """
     for package in _PLUGIN_PACKAGES:
         registry.load_plugins(package)
-    create_platform = platform_base.PLATFORMS.lookup(settings.platform.plugin)
+    create_platform = storage_base.PLATFORMS.lookup(settings.platform.plugin)
     node = kernel_node.Node(
         settings=settings,
         incarnation=ids.IncarnationId(ids.random_id()),
--- a/eelgrassknot/frontend/claim_part.py
+++ b/eelgrassknot/frontend/claim_part.py
@@ -16,11 +16,11 @@
 from eelgrassknot.kernel import parts
 from eelgrassknot.kernel import work_loop
 from eelgrassknot import logs
-from eelgrassknot.platforms import base
 from eelgrassknot.requests import claim as claims
 from eelgrassknot.requests import claim_ledger
 from eelgrassknot.requests import claim_messages as messages
 from eelgrassknot.requests import plain_messages
+from eelgrassknot.storage import base
 
 __all__ = ['ClaimPart', 'KeyedCall']
 
--- a/eelgrassknot/kernel/node.py
+++ b/eelgrassknot/kernel/node.py
@@ -14,7 +14,7 @@
 
 if typing.TYPE_CHECKING:
     from eelgrassknot.kernel import parts
-    from eelgrassknot.platforms import base as platform_base
+    from eelgrassknot.storage import base as storage_base
 
 __all__ = ['Node']
 
@@ -37,7 +37,7 @@
     generator: random.Random
     hub: hubs.Hub
     executor: concurrent.futures.Executor
-    platform: 'platform_base.Platform'
+    platform: 'storage_base.Platform'
     state: states.DaemonState = states.DaemonState.STARTING
     text: services_text.ServicesText | None = None
     text_version: ids.ConfigVersion = ids.ConfigVersion(0)
--- a/eelgrassknot/reporting/audit.py
+++ b/eelgrassknot/reporting/audit.py
@@ -7,8 +7,8 @@
 import result
 
 from eelgrassknot.coordination import rows
-from eelgrassknot.platforms import base
 from eelgrassknot.reporting import rendering
+from eelgrassknot.storage import base
 
 __all__ = ['AuditFilter', 'lines', 'read']
 
--- a/eelgrassknot/reporting/reader.py
+++ b/eelgrassknot/reporting/reader.py
@@ -7,12 +7,12 @@
 
 from eelgrassknot import exceptions
 from eelgrassknot import ids
-from eelgrassknot.platforms import base as platform_base
 from eelgrassknot.reporting import coverage
 from eelgrassknot.reporting import merge
 from eelgrassknot.reporting import messages
 from eelgrassknot.reporting import object_names
 from eelgrassknot.reporting import rows
+from eelgrassknot.storage import base as storage_base
 
 __all__ = ['read_operators_addresses', 'read_report']
 
@@ -22,10 +22,10 @@
 
 
 def read_report(
-    objects: platform_base.ObjectStore,
+    objects: storage_base.ObjectStore,
     wanted: messages.ReportFilter,
     expected_vms: collections.abc.Iterable[ids.VmId] = (),
-) -> result.Result[messages.Report, platform_base.PlatformError]:
+) -> result.Result[messages.Report, storage_base.PlatformError]:
     """Return the report on a range of time.
 
     Args:
@@ -54,7 +54,7 @@
 
 
 def read_operators_addresses(
-    objects: platform_base.ObjectStore, now_ms: float
+    objects: storage_base.ObjectStore, now_ms: float
 ) -> dict[ids.VmId, str]:
     """Return where the VMs that wrote lately listen for operators.
 
@@ -86,8 +86,8 @@
 
 
 def _list_names(
-    objects: platform_base.ObjectStore, wanted: messages.ReportFilter
-) -> result.Result[list[object_names.ObjectName], platform_base.PlatformError]:
+    objects: storage_base.ObjectStore, wanted: messages.ReportFilter
+) -> result.Result[list[object_names.ObjectName], storage_base.PlatformError]:
     # A part that was coalesced while the store was down may have begun
     # long before the wanted time.
     lookback_ms = LOOKBACK_HOURS * object_names.MS_PER_HOUR
@@ -98,8 +98,8 @@
 
 
 def _list_prefixes(
-    objects: platform_base.ObjectStore, prefixes: list[str]
-) -> result.Result[list[object_names.ObjectName], platform_base.PlatformError]:
+    objects: storage_base.ObjectStore, prefixes: list[str]
+) -> result.Result[list[object_names.ObjectName], storage_base.PlatformError]:
     names = []
     with concurrent.futures.ThreadPoolExecutor(FETCH_THREADS) as executor:
         for answer in executor.map(objects.list_keys, prefixes):
--- a/eelgrassknot/requests/claim_expiry.py
+++ b/eelgrassknot/requests/claim_expiry.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from eelgrassknot.platforms import base
 from eelgrassknot.requests import claim_messages as messages
+from eelgrassknot.storage import base
 
 __all__ = ['expired_claims']
 
--- a/eelgrassknot/settings/vm_faults.py
+++ b/eelgrassknot/settings/vm_faults.py
@@ -7,10 +7,10 @@
 
 from eelgrassknot import exceptions
 from eelgrassknot.kernel import registry
-from eelgrassknot.platforms import base as platform_base
 from eelgrassknot.settings import faults
 from eelgrassknot.settings import ranges
 from eelgrassknot.settings import vm as vm_settings
+from eelgrassknot.storage import base as storage_base
 
 __all__ = ['vm_faults']
 
@@ -76,8 +76,8 @@
     platform = ranges.field(document, 'platform')
     path = faults.child(faults.ROOT, 'platform')
     plugin = ranges.text_value(ranges.field(platform, 'plugin'))
-    registry.load_plugins('eelgrassknot.platforms')
-    known = platform_base.PLATFORMS.plugins
+    registry.load_plugins('eelgrassknot.storage')
+    known = storage_base.PLATFORMS.plugins
     if plugin is not None and plugin not in known:
         yield faults.Fault(
             faults.child(path, 'plugin'),
--- a/eelgrassknot/platforms/http.py
+++ b/eelgrassknot/storage/http.py
@@ -10,7 +10,7 @@
 from eelgrassknot import exceptions
 from eelgrassknot import http_client
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['HttpObjects', 'HttpTable', 'HttpVmList', 'create']
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -10,10 +10,10 @@
 
 from eelgrassknot.coordination import config_store
 from eelgrassknot import ids
-from eelgrassknot.platforms import http as http_platform
 from eelgrassknot.settings import examples
 from eelgrassknot.settings import vm as vm_settings
 from eelgrassknot import states
+from eelgrassknot.storage import http as http_storage
 from standins import processes
 from standins import shapes
 from standins import topology as topologies
@@ -190,7 +190,7 @@
     def accept_text(self) -> bool:
         """Put the present text in force; return whether it was accepted."""
         document = msgspec.json.encode(self.text).decode()
-        table = http_platform.create(f'http://{self.platform.address}').table
+        table = http_storage.create(f'http://{self.platform.address}').table
         outcome = config_store.accept(
             table, document, AUTHOR, ids.ChangeId(ids.random_id())
         )
--- a/tests/coordination/deployment.py
+++ b/tests/coordination/deployment.py
@@ -11,7 +11,7 @@
 
 from eelgrassknot.coordination import config_store
 from eelgrassknot import http_client
-from eelgrassknot.platforms import http as http_platform
+from eelgrassknot.storage import http as http_storage
 
 __all__ = ['Deployment', 'document', 'wait_for']
 
@@ -93,7 +93,7 @@
         self.processes = []
         self.daemons = {}
         self.url = 'http://' + self.start_listening('standins.platform')
-        self.platform = http_platform.create(self.url)
+        self.platform = http_storage.create(self.url)
 
     def start_listening(self, module, *arguments):
         """Start a stand-in and return the address that it prints."""
--- a/tests/coordination/memory_table.py
+++ b/tests/coordination/memory_table.py
@@ -3,7 +3,7 @@
 import result
 
 from eelgrassknot import exceptions
-from eelgrassknot.platforms import base
+from eelgrassknot.storage import base
 
 __all__ = ['MemoryTable']
 
--- a/tests/steps/coordination_digest.py
+++ b/tests/steps/coordination_digest.py
@@ -13,8 +13,8 @@
 from eelgrassknot.coordination import rendezvous
 from eelgrassknot.coordination import vm_list
 from eelgrassknot.kernel import events
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 
 def info(name, address='127.0.0.1:1'):
--- a/tests/steps/coordination_membership.py
+++ b/tests/steps/coordination_membership.py
@@ -9,8 +9,8 @@
 from eelgrassknot.coordination import membership
 from eelgrassknot.coordination import membership_messages
 from eelgrassknot.coordination import suspicion
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 from tests.coordination import machines
 
 GONE = membership.PeerState.GONE
--- a/tests/steps/coordination_upstream_membership.py
+++ b/tests/steps/coordination_upstream_membership.py
@@ -3,8 +3,8 @@
 import behave
 
 from eelgrassknot.coordination import upstream_membership as upstreams
-from eelgrassknot.platforms import base
 from eelgrassknot import states
+from eelgrassknot.storage import base
 
 LIVE = states.UpstreamState.LIVE
 LEAVING = states.UpstreamState.LEAVING
--- a/tests/steps/requests_claim.py
+++ b/tests/steps/requests_claim.py
@@ -4,7 +4,6 @@
 import msgspec
 
 from eelgrassknot import ids
-from eelgrassknot.platforms import base
 from eelgrassknot.requests import claim as claims
 from eelgrassknot.requests import claim_expiry
 from eelgrassknot.requests import claim_ledger
@@ -12,6 +11,7 @@
 from eelgrassknot.requests import peers
 from eelgrassknot.requests import plain_messages
 from eelgrassknot import states
+from eelgrassknot.storage import base
 from tests import claim_world
 from tests import histories
 
