Many entry VMs tell each other by zone

Cause: each VM was linked to all others. Change: up to 16 VMs are all linked as before. With more, a VM is linked to its zone, and two gateways of each zone to those of the others (the rule that the membership uses, now for both). A gateway tells the sums of its zone, far gateways' digests are relayed inside. Rows of VMs that ended are deleted after 60 s by one VM of their zone; a VM whose row is gone writes it again, and a peer that was silent is linked as long as its row stands. Result: simulated zones of 10: each VM counts all 300 runs once, at most 150 messages a second for its own news, a gateway at most 400 in all; replaced gateways and a zone that is cut off are covered.

--- a/eelgrassknot/coordination/links.py
+++ b/eelgrassknot/coordination/links.py
@@ -6,13 +6,14 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 from eelgrassknot.coordination import membership as memberships
 from eelgrassknot.coordination import rendezvous
 from eelgrassknot import ids
 
-__all__ = ['Links', 'plan_links']
+__all__ = ['Links', 'Place', 'choose_links', 'plan_links']
 
 GATEWAYS = 2
 _GATEWAY_KEY = 'gateway'
@@ -30,28 +31,77 @@
     zone: dict[ids.VmId, str]
     far: dict[ids.VmId, str]
 
+    @property
+    def addresses(self) -> dict[ids.VmId, str]:
+        """All peers to be connected, by address."""
+        return {**self.zone, **self.far}
 
-def plan_links(membership: memberships.Membership) -> Links:
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a VM is and where it listens to peers.
+
+    Attributes:
+        is_live: Whether it may be a gateway.
+    """
+
+    availability_zone: ids.AvailabilityZoneId
+    address: str
+    is_live: bool
+
+
+def choose_links(
+    vm: ids.VmId,
+    availability_zone: ids.AvailabilityZoneId,
+    places: collections.abc.Mapping[ids.VmId, Place],
+) -> Links:
     """Return the links that a VM should have.
 
     Args:
-        membership: What it knows of the entry VMs.
+        vm: The VM.
+        availability_zone: Its zone.
+        places: All others that are known.
+
+    Example:
+        >>> places = {'b': Place('y', '10.0.0.2:1', True)}
+        >>> choose_links('a', 'z', places).far
+        {'b': '10.0.0.2:1'}
     """
     zone: dict[ids.VmId, str] = {}
-    others: dict[str, list[memberships.Peer]] = collections.defaultdict(list)
+    members = [vm]
+    others: dict[str, dict[ids.VmId, str]] = collections.defaultdict(dict)
+    for peer, place in places.items():
+        if place.availability_zone == availability_zone:
+            zone[peer] = place.address
+            if place.is_live:
+                members.append(peer)
+        elif place.is_live:
+            others[place.availability_zone][peer] = place.address
+    if vm not in rendezvous.ranked(_GATEWAY_KEY, members, GATEWAYS):
+        return Links(zone, {})
+    far = {
+        peer: addresses[peer]
+        for addresses in others.values()
+        for peer in rendezvous.ranked(_GATEWAY_KEY, addresses, GATEWAYS)
+    }
+    return Links(zone, far)
+
+
+def plan_links(membership: memberships.Membership) -> Links:
+    """Return the links of a VM that keeps a membership.
+
+    Args:
+        membership: What it knows of the entry VMs.
+    """
+    members = set(membership.zone_members())
+    places = {}
     for peer in membership.peers.values():
         if peer.place is None:
             continue
-        if peer.place.availability_zone == membership.availability_zone:
-            zone[peer.vm] = peer.place.address
-        elif peer.listed or peer.state is memberships.PeerState.LIVE:
-            others[peer.place.availability_zone].append(peer)
-    members = membership.zone_members()
-    if membership.vm not in rendezvous.ranked(_GATEWAY_KEY, members, GATEWAYS):
-        return Links(zone, {})
-    far = {}
-    for peers in others.values():
-        by_name = {peer.vm: peer.place.address for peer in peers}
-        for vm in rendezvous.ranked(_GATEWAY_KEY, by_name, GATEWAYS):
-            far[vm] = by_name[vm]
-    return Links(zone, far)
+        zone = peer.place.availability_zone
+        if zone == membership.availability_zone:
+            is_live = peer.vm in members
+        else:
+            is_live = peer.listed or peer.state is memberships.PeerState.LIVE
+        places[peer.vm] = Place(zone, peer.place.address, is_live)
+    return choose_links(membership.vm, membership.availability_zone, places)
--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -36,6 +36,7 @@
     'RowsReply',
     'TableMark',
     'ZoneLoad',
+    'ZoneNews',
 ]
 
 
@@ -234,6 +235,21 @@
     calls: tuple[tuple[ids.UpstreamId, int], ...]
 
 
+class ZoneNews(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """What a gateway tells of all entry VMs of its zone.
+
+    Attributes:
+        availability_zone: The zone.
+        engines: Engines at which its VMs have runs or copies.
+        calls: Plain calls that they have at each upstream.
+    """
+
+    availability_zone: ids.AvailabilityZoneId
+    marks: tuple[TableMark, ...]
+    engines: tuple[EngineEntry, ...]
+    calls: tuple[tuple[ids.UpstreamId, int], ...]
+
+
 class RowsFetch(msgspec.Struct, array_like=True, tag=13, frozen=True):
     """Asks for a table if the receiver knows it beyond a version."""
 
@@ -297,6 +313,7 @@
     | Reply
     | ListChange
     | EntryNews
+    | ZoneNews
 )
 
 
--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -25,9 +25,11 @@
 from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import peer_news
+from eelgrassknot.forwarding import peer_tally
 from eelgrassknot.forwarding import settings_reload
 from eelgrassknot.forwarding import upstream_link
 from eelgrassknot.forwarding import work as works
+from eelgrassknot.forwarding import zone_news
 from eelgrassknot import ids
 from eelgrassknot.kernel import registry
 from eelgrassknot import logs
@@ -89,8 +91,12 @@
         self.forwarder = forwarders.Forwarder(
             self.context, self.knowledge.access_book, self.generator
         )
-        self.news = peer_news.PeerNews(
-            self.knowledge, self.desk, self.plain_pool, self.loop
+        self.tally = peer_tally.PeerTally(
+            self.desk, self.plain_pool, self.loop
+        )
+        self.news = peer_news.PeerNews(self.knowledge, self.tally, self.loop)
+        self.zone_news = zone_news.ZoneNews(
+            self.knowledge, self.tally, self.loop
         )
         self.was_ready = False
         self.drain_until_ms: float | None = None
@@ -151,6 +157,7 @@
         ]
         self.knowledge.start()
         self.news.start()
+        self.zone_news.start()
         logs.event('started', vm=self.settings.vm)
         self.loop.run()
         logs.event('stopped', vm=self.settings.vm)
@@ -161,7 +168,7 @@
         VMs that were heard of once count for good: one that is cut off
         may still be serving.
         """
-        vms = max(ASSUMED_VMS, len(self.knowledge.board.heard_ms) + 1)
+        vms = max(ASSUMED_VMS, len(self.knowledge.board.roster.heard_ms) + 1)
         return self.settings.rules.retry_burst / vms
 
     def drain(self) -> None:
@@ -214,7 +221,12 @@
 
     def peer_told(self, vm: ids.VmId, news: messages.EntryNews) -> None:
         """Count what a peer has at each upstream."""
-        self.news.take(vm, news)
+        self.zone_news.heard_directly(news.availability_zone)
+        self.tally.take(('vm', vm), news)
+
+    def zone_told(self, vm: ids.VmId, news: messages.ZoneNews) -> None:
+        """Count what another zone has at each upstream."""
+        self.zone_news.take(vm, news)
 
     def settings_changed(self, settings: entry_settings.EntrySettings) -> None:
         """Put the rules of changed settings in force."""
--- a/eelgrassknot/forwarding/knowledge.py
+++ b/eelgrassknot/forwarding/knowledge.py
@@ -38,8 +38,6 @@
 STALE_MARGIN_MS = 700.0
 """A table that nobody has confirmed for so much longer than a watch waits
 is watched here; ms. Covers an answer, and a message of a peer."""
-PEER_LIVE_MS = 1_500.0
-"""A peer counts as live for so long after its last message; ms."""
 STEP_MS = 250.0
 """How often time-outs of the directory are looked at; ms."""
 
@@ -61,6 +59,9 @@
     def peer_told(self, vm: ids.VmId, news: messages.EntryNews) -> None:
         """A peer has told of its load."""
 
+    def zone_told(self, vm: ids.VmId, news: messages.ZoneNews) -> None:
+        """A gateway has told of the load of a zone."""
+
 
 @dataclasses.dataclass
 class _Table:
@@ -105,7 +106,6 @@
         self.store_clock = access.StoreClock()
         self.access_book = access.AccessBook(settings.rules.revoke_ms)
         self.directory = directories.UpstreamDirectory(self._leaving)
-        self.zones: dict[ids.VmId, ids.AvailabilityZoneId] = {}
         self.tables = {
             dialect.config_table: _Table(
                 table_mirror.TableMirror(), self._apply_config
@@ -226,20 +226,36 @@
     # Peers
 
     def _prepare_link(self, link: peer_link.PeerLink) -> None:
-        link.on_message(
-            messages.EntryNews,
-            lambda envelope: self.loop.call_soon(
-                functools.partial(
-                    self._take_peer, envelope.vm, envelope.message
-                )
-            ),
-        )
+        for kind, take in (
+            (messages.EntryNews, self._take_peer),
+            (messages.ZoneNews, self._take_zone),
+        ):
+            link.on_message(kind, functools.partial(self._in_loop, take))
         link.on_query(messages.RowsFetch, self._answer_fetch)
 
+    def _in_loop(
+        self,
+        take: collections.abc.Callable[[ids.VmId, messages.Message], None],
+        envelope: messages.Envelope,
+    ) -> None:
+        self.loop.call_soon(
+            functools.partial(take, envelope.vm, envelope.message)
+        )
+
     def _take_peer(self, vm: ids.VmId, news: messages.EntryNews) -> None:
         self.board.heard(vm)
-        self.zones[vm] = news.availability_zone
-        for told in news.marks:
+        self._take_marks(vm, news.marks)
+        self.listener.peer_told(vm, news)
+
+    def _take_zone(self, vm: ids.VmId, news: messages.ZoneNews) -> None:
+        self.board.heard(vm)
+        self._take_marks(vm, news.marks)
+        self.listener.zone_told(vm, news)
+
+    def _take_marks(
+        self, vm: ids.VmId, marks: tuple[messages.TableMark, ...]
+    ) -> None:
+        for told in marks:
             table = self.tables.get(told.table)
             if table is None:
                 continue
@@ -251,7 +267,6 @@
                 self.loop.call_later(
                     BEHIND_MS, functools.partial(self._fetch, vm, told)
                 )
-        self.listener.peer_told(vm, news)
 
     def _fetch(self, vm: ids.VmId, told: messages.TableMark) -> None:
         """Ask a peer for a table unless it was read meanwhile."""
@@ -322,13 +337,7 @@
         stale_ms = self.tables[name].watch.wait_ms + STALE_MARGIN_MS
         if self.loop.now_ms() - known_ms > stale_ms:
             return True
-        zone = self.settings.availability_zone
-        members = [
-            vm
-            for vm in self.board.live(PEER_LIVE_MS)
-            if self.zones.get(vm) == zone
-        ]
-        members.append(ids.VmId(self.settings.vm))
+        members = self.board.zone_members()
         return rendezvous.ranked(name, members, 1)[0] == self.settings.vm
 
 
--- a/eelgrassknot/forwarding/peer_board.py
+++ b/eelgrassknot/forwarding/peer_board.py
@@ -16,6 +16,7 @@
 from eelgrassknot.coordination import peer_codec
 from eelgrassknot.coordination import peer_link
 from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.forwarding import peer_roster
 from eelgrassknot.forwarding import row_store
 from eelgrassknot import ids
 from eelgrassknot import logs
@@ -29,19 +30,16 @@
 KEY_BYTES = 32
 RETRY_BASE_MS = 200.0
 RETRY_MAX_MS = 2_000.0
-REREAD_MS = 15_000.0
+REREAD_MS = 30_000.0
 """How often the rows of the VMs are read while nothing calls for it; ms."""
 REREAD_SOON_MS = 1_000.0
 """Least time between two reads; ms."""
-SILENT_MS = 20_000.0
-"""A peer that was not heard of for so long is disconnected; ms."""
-
-
-class _VmRow(msgspec.Struct):
-    """Where one VM listens to its peers."""
-
-    address: str
-    availability_zone: str
+SETTLE_MS = 500.0
+"""Time between this VM's row and its first look at the others'; ms. VMs
+that start together find each other by one read."""
+PLAN_MS = 1_000.0
+"""How often the links are looked at; ms. A gateway that has ended is
+replaced within this time and that of its silence."""
 
 
 class PeerBoard:
@@ -58,7 +56,7 @@
 
     Attributes:
         link: The link, or None until the rows were read.
-        heard_ms: When each peer was last heard of.
+        roster: Which VMs are listed, and whom to link to.
     """
 
     def __init__(
@@ -72,13 +70,13 @@
         prepare: collections.abc.Callable[[peer_link.PeerLink], None],
     ) -> None:
         self.vm = vm
-        self.availability_zone = availability_zone
-        self.address = address
+        self.roster = peer_roster.PeerRoster(vm, availability_zone)
+        self.row = peer_roster.VmRow(address, availability_zone)
         self.store = store
         self.clock = clock
         self.prepare = prepare
         self.link: peer_link.PeerLink | None = None
-        self.heard_ms: dict[ids.VmId, float] = {}
+        self.read_due_ms = 0.0
         self.wanted = threading.Event()
         self.stopped = threading.Event()
         self.jitter = backoff.DecorrelatedJitter(
@@ -99,31 +97,45 @@
 
     def heard(self, vm: ids.VmId) -> None:
         """Take in that a peer was heard of; an unknown one is looked up."""
-        self.heard_ms[vm] = self.clock.now_ms()
-        if self.link is not None and vm not in self.link.addresses:
+        self.roster.heard(vm, self.clock.now_ms())
+        if self.link is not None and vm not in self.roster.listed:
             self.wanted.set()
 
     def broadcast(self, message: messages.Message) -> None:
-        """Send a message to all peers."""
+        """Send a message to the peers of the zone, or to all if few."""
         if self.link is not None:
-            self.link.broadcast(list(self.link.addresses), message)
+            self.link.broadcast(list(self.roster.links.zone), message)
 
-    def live(self, within_ms: float) -> list[ids.VmId]:
-        """Return the peers that were heard of within a time."""
-        now_ms = self.clock.now_ms()
-        return [
-            vm
-            for vm, heard_ms in list(self.heard_ms.items())
-            if now_ms - heard_ms <= within_ms
-        ]
+    def send_far(
+        self,
+        vms: collections.abc.Iterable[ids.VmId],
+        message: messages.Message,
+    ) -> None:
+        """Send a message to gateways of other zones."""
+        if self.link is not None:
+            self.link.broadcast(vms, message)
+
+    def live(self) -> list[ids.VmId]:
+        """Return the peers that were heard of just now."""
+        return self.roster.live(self.clock.now_ms())
+
+    def zone_members(self) -> list[ids.VmId]:
+        """Return this VM and the live peers of its zone."""
+        return self.roster.zone_members(self.clock.now_ms())
 
     def _run(self) -> None:
         while not self.stopped.is_set():
-            delay_ms = self._guarded_step()
-            self.wanted.wait(delay_ms / clocks.MS_PER_SECOND)
+            if self.clock.now_ms() >= self.read_due_ms:
+                delay_ms = self._guarded_step()
+                self.read_due_ms = self.clock.now_ms() + delay_ms
+            elif self.link is not None:
+                self._follow_plan()
+            due_ms = max(0.0, self.read_due_ms - self.clock.now_ms())
+            self.wanted.wait(min(PLAN_MS, due_ms) / clocks.MS_PER_SECOND)
             if self.wanted.is_set():
                 self.wanted.clear()
                 self.stopped.wait(REREAD_SOON_MS / clocks.MS_PER_SECOND)
+                self.read_due_ms = 0.0
 
     def _guarded_step(self) -> float:
         """Do what is due; return the time until the next step in ms."""
@@ -132,27 +144,26 @@
         except Exception as error:
             logs.exception('peer_board_failed', error)
             return RETRY_MAX_MS
-        if isinstance(found, result.Err):
-            logs.warning('peers_unread', why=str(found.err_value))
-            return self.jitter.next_ms()
-        return REREAD_MS
-
-    def _step(self) -> result.Result[None, row_store.StoreError]:
+        match found:
+            case result.Ok(delay_ms):
+                return delay_ms
+            case result.Err(error):
+                logs.warning('peers_unread', why=str(error))
+                return self.jitter.next_ms()
+
+    def _step(self) -> result.Result[float, row_store.StoreError]:
         if self.link is None:
-            found = self._register()
-            if isinstance(found, result.Err):
-                return found
+            return self._register().map(lambda _: SETTLE_MS)
         page = self.store.read_table(VMS_TABLE)
-        return page.map(self._connect)
+        if isinstance(page, result.Err):
+            return page
+        return self._take_rows(page.ok_value).map(lambda _: REREAD_MS)
 
     def _register(self) -> result.Result[None, row_store.StoreError]:
         key = self._shared_key()
         if isinstance(key, result.Err):
             return key
-        row = msgspec.json.encode(_VmRow(self.address, self.availability_zone))
-        written = self.store.write_row(
-            row_store.RowKey(VMS_TABLE, self.vm), row
-        )
+        written = self._write_own_row()
         if isinstance(written, result.Err):
             return written
         # The store's clock orders the runs of a VM whose own clock steps.
@@ -163,7 +174,7 @@
             [key.ok_value[0]],
         )
         link = peer_link.PeerLink(
-            self.address, codec, self.clock, gather_ms=0.0
+            self.row.address, codec, self.clock, gather_ms=0.0
         )
         self.prepare(link)
         link.start()
@@ -190,20 +201,43 @@
         page = found.ok_value
         return result.Ok((page.rows[0].value, page.store_ms))
 
-    def _connect(self, page: row_store.RowPage) -> None:
+    def _write_own_row(self) -> result.Result[None, row_store.StoreError]:
+        return self.store.write_row(
+            row_store.RowKey(VMS_TABLE, self.vm), msgspec.json.encode(self.row)
+        )
+
+    def _take_rows(
+        self, page: row_store.RowPage
+    ) -> result.Result[None, row_store.StoreError]:
+        """Follow the rows; put back one's own, drop those of the dead."""
         listed = {}
         for row in page.rows:
-            if row.key == self.vm:
-                continue
             try:
-                listed[row.key] = msgspec.json.decode(row.value, type=_VmRow)
+                listed[row.key] = msgspec.json.decode(
+                    row.value, type=peer_roster.VmRow
+                )
             except msgspec.MsgspecError as error:
                 logs.warning('peer_unreadable', vm=row.key, why=str(error))
-        now_ms = self.clock.now_ms()
-        for vm, row in listed.items():
-            last_ms = self.heard_ms.setdefault(vm, now_ms)
-            if now_ms - last_ms > SILENT_MS:
-                self.link.disconnect(vm)
-            elif self.link.addresses.get(vm) != row.address:
-                logs.event('peer_found', vm=vm, address=row.address)
-                self.link.connect(vm, row.address)
+        self.roster.take_rows(listed, self.clock.now_ms())
+        self._follow_plan()
+        if listed.get(self.vm) != self.row:
+            written = self._write_own_row()
+            if isinstance(written, result.Err):
+                return written
+        for vm in self.roster.forgotten(self.clock.now_ms()):
+            logs.event('peer_forgotten', vm=vm)
+            dropped = self.store.delete_row(row_store.RowKey(VMS_TABLE, vm))
+            if isinstance(dropped, result.Err):
+                return dropped
+        return result.Ok(None)
+
+    def _follow_plan(self) -> None:
+        """Connect to whom the roster names, and to nobody else."""
+        wanted = self.roster.plan(self.clock.now_ms()).addresses
+        for vm in set(self.link.addresses) - set(wanted):
+            logs.event('peer_unlinked', vm=vm)
+            self.link.disconnect(vm)
+        for vm, address in wanted.items():
+            if self.link.addresses.get(vm) != address:
+                logs.event('peer_linked', vm=vm, address=address)
+                self.link.connect(vm, address)
--- a/eelgrassknot/forwarding/peer_news.py
+++ b/eelgrassknot/forwarding/peer_news.py
@@ -1,15 +1,11 @@
-"""Tells peers what this VM has placed where, and counts what they have."""
-
-import collections
+"""Tells peers what this VM has placed where."""
 
 from eelgrassknot import clock as clocks
 from eelgrassknot.coordination import peer_messages as messages
-from eelgrassknot.forwarding import engine_desk
 from eelgrassknot.forwarding import knowledge as knowledges
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import peer_tally
 from eelgrassknot import ids
-from eelgrassknot.policy import commitments
-from eelgrassknot.policy import plain
 
 __all__ = ['PeerNews']
 
@@ -26,12 +22,11 @@
 
 
 class PeerNews:
-    """Sends this VM's sums when they change, and takes in those of peers.
+    """Sends this VM's sums to its peers when they change.
 
     Args:
         knowledge: Tables and peers.
-        desk: This VM's streams.
-        plain_pool: This VM's plain calls.
+        tally: What this VM and its peers have at each upstream.
         loop: The event loop.
 
     Attributes:
@@ -41,51 +36,23 @@
     def __init__(
         self,
         knowledge: knowledges.Knowledge,
-        desk: engine_desk.EngineDesk,
-        plain_pool: plain.PlainPool,
+        tally: peer_tally.PeerTally,
         loop: loops.EventLoop,
     ) -> None:
         self.knowledge = knowledge
-        self.desk = desk
-        self.plain_pool = plain_pool
+        self.tally = tally
         self.loop = loop
         self.leaving = False
         self.told_ms = float('-inf')
         self.told: tuple = ()
-        self.peer_calls: dict[ids.VmId, dict[ids.UpstreamId, int]] = {}
 
     def start(self) -> None:
         """Begin to tell."""
         self.loop.call_later(LOOK_MS, self._look)
 
-    def take(self, vm: ids.VmId, news: messages.EntryNews) -> None:
-        """Count what a peer has at each upstream."""
-        sums = {
-            entry.engine: commitments.EngineSums(
-                entry.runs,
-                entry.tokens,
-                entry.copy_tokens,
-                entry.unread_tokens,
-            )
-            for entry in news.engines
-        }
-        book = self.desk.queue.commitments
-        book.take_peer(vm, sums, self.loop.now_ms())
-        self.peer_calls[vm] = dict(news.calls)
-        self._count_calls()
-        if self.desk.queue.waiting:
-            self.desk.step_soon()
-
-    def _count_calls(self) -> None:
-        others: dict[ids.UpstreamId, int] = collections.Counter()
-        live = self.knowledge.board.live(knowledges.PEER_LIVE_MS)
-        for vm in live:
-            others.update(self.peer_calls.get(vm, {}))
-        self.plain_pool.others = others
-
     def _interval_ms(self) -> float:
         """Return the least time between two messages to all peers."""
-        peers = len(self.knowledge.board.live(knowledges.PEER_LIVE_MS))
+        peers = len(self.knowledge.board.live())
         return max(LOOK_MS, peers / MESSAGES_PER_S * clocks.MS_PER_SECOND)
 
     def _look(self) -> None:
@@ -93,7 +60,7 @@
         self.loop.call_later(interval_ms, self._look)
         quiet_ms = max(QUIET_MS, 2 * interval_ms)
         now_ms = self.loop.now_ms()
-        sums = self.desk.queue.commitments.own_sums()
+        sums = self.tally.engines()
         told = (
             tuple(
                 (mark.table, mark.changed) for mark in self.knowledge.marks()
@@ -111,28 +78,14 @@
             return
         self.told = told
         self.told_ms = now_ms
-        self.knowledge.board.broadcast(self._news(sums))
-
-    def _news(
-        self, sums: dict[ids.UpstreamId, commitments.EngineSums]
-    ) -> messages.EntryNews:
-        return messages.EntryNews(
-            ids.AvailabilityZoneId(self.knowledge.settings.availability_zone),
-            self.leaving,
-            self.knowledge.marks(),
-            tuple(
-                messages.EngineEntry(
-                    engine,
-                    each.runs,
-                    each.tokens,
-                    each.copy_tokens,
-                    each.unread_tokens,
-                )
-                for engine, each in sums.items()
-            ),
-            tuple(
-                (upstream, count)
-                for upstream, count in self.plain_pool.running.items()
-                if count
-            ),
+        self.knowledge.board.broadcast(
+            messages.EntryNews(
+                ids.AvailabilityZoneId(
+                    self.knowledge.settings.availability_zone
+                ),
+                self.leaving,
+                self.knowledge.marks(),
+                peer_tally.engine_entries(sums),
+                tuple(self.tally.running_calls().items()),
+            )
         )
--- a/eelgrassknot/policy/commitments.py
+++ b/eelgrassknot/policy/commitments.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 from eelgrassknot import ids
@@ -86,7 +87,8 @@
     def __init__(self) -> None:
         self.runs: dict[object, Commitment] = {}
         self.peers: dict[
-            ids.VmId, tuple[float, dict[ids.UpstreamId, EngineSums]]
+            collections.abc.Hashable,
+            tuple[float, dict[ids.UpstreamId, EngineSums]],
         ] = {}
 
     def commit(self, run: object, commitment: Commitment) -> None:
@@ -99,12 +101,12 @@
 
     def take_peer(
         self,
-        vm: ids.VmId,
+        peer: collections.abc.Hashable,
         sums: dict[ids.UpstreamId, EngineSums],
         now_ms: float,
     ) -> None:
-        """Take in what a peer says of its own runs."""
-        self.peers[vm] = (now_ms, sums)
+        """Take in the sums of a peer, or of all VMs of another zone."""
+        self.peers[peer] = (now_ms, sums)
 
     def own_sums(self) -> dict[ids.UpstreamId, EngineSums]:
         """Return the sums of this VM's runs by engine."""
@@ -120,16 +122,24 @@
                 sums[run.copy] = sums[run.copy].plus(kept)
         return dict(sums)
 
-    def all_sums(self, now_ms: float) -> dict[ids.UpstreamId, EngineSums]:
-        """Return the sums of all VMs by engine.
+    def all_sums(
+        self,
+        now_ms: float,
+        peers: collections.abc.Collection[collections.abc.Hashable]
+        | None = None,
+    ) -> dict[ids.UpstreamId, EngineSums]:
+        """Return sums over VMs by engine.
 
         Args:
             now_ms: The present time.
+            peers: Whose to add to this VM's own, or None for all.
         """
         total = self.own_sums()
-        for heard_ms, sums in self.peers.values():
+        for peer, (heard_ms, sums) in self.peers.items():
             if now_ms - heard_ms > PEER_SUMS_MS:
                 continue
+            if peers is not None and peer not in peers:
+                continue
             for upstream, theirs in sums.items():
                 total[upstream] = total.get(upstream, EngineSums()).plus(
                     theirs
--- /dev/null
+++ b/tests/steps/forwarding_peers.py
@@ -0,0 +1,209 @@
+"""Steps on entry VMs that find each other and tell their sums."""
+
+import random
+
+import behave
+import msgspec
+import result
+
+from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import peer_board
+from eelgrassknot.forwarding import peer_roster
+from eelgrassknot.forwarding import row_store
+from tests import peer_world
+
+
+@behave.given('{zones:d} zones of {size:d} entry VMs that tell each other')
+def given_world(context, zones, size):
+    context.world = peer_world.PeerWorld(zones, size)
+
+
+@behave.when('{passed:d} ms pass')
+def time_passes(context, passed):
+    loop = context.world.loop
+    loop.run_until(loop.now_ms() + passed)
+
+
+@behave.when(
+    'each VM places {runs:d} runs at the engine {engine} and {passed:d} ms '
+    'pass'
+)
+def place_runs(context, runs, engine, passed):
+    for vm, peer in context.world.vms.items():
+        for number in range(runs if peer.alive else 0):
+            peer.place(f'{vm}/{number}', engine, 100)
+    time_passes(context, passed)
+
+
+@behave.when('each VM places a run every {gap:d} ms for {passed:d} ms')
+def place_often(context, gap, passed):
+    for peer in context.world.vms.values():
+        peer.sent.clear()
+    for number in range(passed // gap):
+        for vm, peer in context.world.vms.items():
+            peer.place(f'{vm}/{number}', f'e{number % 30}', 1_000)
+        time_passes(context, gap)
+    context.passed_s = passed / 1_000
+
+
+@behave.when('both gateways of the zone {zone} end and {passed:d} ms pass')
+def gateways_end(context, zone, passed):
+    for vm in context.world.gateways()[zone]:
+        context.world.vms[vm].alive = False
+    time_passes(context, passed)
+
+
+@behave.when('the VM {vm} ends and {passed:d} ms pass')
+def vm_ends(context, vm, passed):
+    context.world.vms[vm].alive = False
+    time_passes(context, passed)
+
+
+@behave.when('the zone {zone} is cut off and {passed:d} ms pass')
+def zone_is_cut(context, zone, passed):
+    world = context.world
+    deliver = world.deliver
+
+    def deliver_inside(sender, vm, message):
+        if (sender.zone == zone) == (world.vms[vm].zone == zone):
+            deliver(sender, vm, message)
+
+    world.deliver = deliver_inside
+    time_passes(context, passed)
+
+
+@behave.then('each VM is linked to {count:d} others and is no gateway')
+def all_linked(context, count):
+    for peer in context.world.vms.values():
+        assert len(peer.roster.links.zone) == count
+        assert not peer.roster.links.far
+
+
+@behave.then(
+    'each zone has {count:d} gateways that are linked to {far:d} far VMs'
+)
+def gateways_are(context, count, far):
+    world = context.world
+    gateways = world.gateways()
+    assert len(gateways) == len(world.regions), gateways
+    for vms in gateways.values():
+        assert len(vms) == count, vms
+        for vm in vms:
+            assert len(world.vms[vm].roster.links.far) == far
+
+
+@behave.then('no other VM is linked to more than {count:d}')
+def others_linked(context, count):
+    for peer in context.world.vms.values():
+        if not peer.roster.links.far:
+            assert len(peer.roster.links.addresses) <= count
+
+
+@behave.then('each VM counts {runs:d} runs at {engine}')
+def counts(context, runs, engine):
+    for vm, peer in context.world.vms.items():
+        if peer.alive:
+            assert peer.runs_known()[engine] == runs, (vm, peer.runs_known())
+
+
+@behave.then('each VM of {zone} counts {runs:d} runs at {engine}')
+def zone_counts(context, zone, runs, engine):
+    for vm, peer in context.world.vms.items():
+        if peer.zone == zone:
+            assert peer.runs_known()[engine] == runs, (vm, peer.runs_known())
+
+
+@behave.then('no VM sends over {limit:d} messages a second on its own account')
+def own_messages(context, limit):
+    for vm, peer in context.world.vms.items():
+        rate = peer.sent['EntryNews'] / context.passed_s
+        assert rate <= limit, (vm, rate)
+
+
+@behave.then('no gateway sends over {limit:d} a second in all')
+def all_messages(context, limit):
+    for vm, peer in context.world.vms.items():
+        rate = sum(peer.sent.values()) / context.passed_s
+        assert rate <= limit, (vm, rate, peer.sent)
+
+
+@behave.then('exactly one VM forgets {vm} and nothing else is forgotten')
+def one_forgets(context, vm):
+    now_ms = context.world.loop.now_ms()
+    forgotten = [
+        peer.roster.forgotten(now_ms)
+        for peer in context.world.vms.values()
+        if peer.alive
+    ]
+    assert sorted(filter(None, forgotten)) == [[vm]], forgotten
+
+
+class _Rows:
+    """The store as the board sees it."""
+
+    def __init__(self, rows):
+        self.rows = rows
+
+    def read_table(self, _table):
+        rows = tuple(
+            row_store.StoreRow(key, value, 1, False)
+            for key, value in self.rows.items()
+        )
+        return result.Ok(row_store.RowPage(rows, 1, 0.0))
+
+    def write_row(self, row, value):
+        self.rows[row.key] = value
+        return result.Ok(None)
+
+
+class _Link:
+    """Takes note of connections."""
+
+    def __init__(self):
+        self.addresses = {}
+
+    def connect(self, vm, address):
+        self.addresses[vm] = address
+
+
+def _board(context, rows):
+    context.rows = rows
+    context.board = peer_board.PeerBoard(
+        'a',
+        'z',
+        '10.0.0.1:7200',
+        _Rows(rows),
+        clocks.MonotonicClock(),
+        random.Random(1),
+        lambda link: None,
+    )
+    context.board.link = _Link()
+
+
+def _row(number):
+    return msgspec.json.encode(peer_roster.VmRow(f'10.0.0.{number}:7200', 'z'))
+
+
+@behave.given('a board whose row was deleted by another VM')
+def board_without_row(context):
+    _board(context, {'b': _row(2)})
+
+
+@behave.given('a board with a peer b and a row that is no JSON')
+def board_with_bad_row(context):
+    _board(context, {'a': _row(1), 'b': _row(2), 'c': b'{'})
+
+
+@behave.when('it reads the rows')
+def board_reads(context):
+    assert context.board._step().is_ok()
+
+
+@behave.then('its row is in the store again')
+def row_is_back(context):
+    assert context.rows['a'] == _row(1)
+
+
+@behave.then('it is linked to b alone')
+def linked_to_b(context):
+    assert list(context.board.link.addresses) == ['b']
