One VM of a zone watches a table; the others wait their turn

At the start each VM watched what it had just read, as no peer was known yet. Change: the watching VM tells a confirmation at once; others begin by rank, 150 ms apart; a VM that has read a table waits 1.5 s for its peers. Result: scenarios of a zone of ten with a mute watcher and of a common start.

--- a/eelgrassknot/forwarding/knowledge.py
+++ b/eelgrassknot/forwarding/knowledge.py
@@ -38,6 +38,15 @@
 STALE_MARGIN_MS = 700.0
 """A table that nobody has confirmed for so much longer than a watch waits
 is watched here; ms. Covers an answer, and a message of a peer."""
+STALE_RANK_MS = 150.0
+"""Each further VM of a zone waits so much longer before it watches as well;
+ms. An answer of the store and a message of a peer take less."""
+STALE_RANKS = 6
+"""VMs beyond this rank wait no longer than it; the margin that they leave
+is half of the least bound on revoked keys."""
+SETTLE_MS = 1_500.0
+"""Time from the start until a VM watches what it has read, unless peers do
+already; ms. They are found within it."""
 STEP_MS = 250.0
 """How often time-outs of the directory are looked at; ms."""
 
@@ -106,6 +115,7 @@
         self.store_clock = access.StoreClock()
         self.access_book = access.AccessBook(settings.rules.revoke_ms)
         self.directory = directories.UpstreamDirectory(self._leaving)
+        self.settled_ms = float('-inf')
         self.tables = {
             dialect.config_table: _Table(
                 table_mirror.TableMirror(), self._apply_config
@@ -137,6 +147,7 @@
         for table in self.tables.values():
             table.watch.start()
         self.board.start()
+        self.settled_ms = self.loop.now_ms() + SETTLE_MS
         self.loop.call_later(STEP_MS, self._step)
 
     def marks(self) -> tuple[messages.TableMark, ...]:
@@ -147,6 +158,23 @@
             if table.mirror.mark is not None
         )
 
+    def newest(self) -> tuple[tuple[str, int], ...]:
+        """Return what peers are to be told of at once.
+
+        A VM that watches a table tells each confirmation of it; others
+        tell changes, as peers of the zone hear the watching VM as well.
+        """
+        return tuple(
+            (
+                name,
+                table.mirror.mark.version
+                if table.watch.wanted
+                else table.mirror.mark.changed,
+            )
+            for name, table in self.tables.items()
+            if table.mirror.mark is not None
+        )
+
     # The store
 
     def _watch(self, name: str, wait_ms: float) -> store_watch.TableWatch:
@@ -182,6 +210,8 @@
         else:
             changes = table.mirror.take_changes(news.after, page)
         self._apply(news.table, changes)
+        # Before the watch's thread decides on its next call.
+        table.watch.wanted = self._should_watch(news.table)
 
     def _apply(self, name: str, changes: table_mirror.Changes | None) -> None:
         table = self.tables[name]
@@ -333,12 +363,16 @@
         mark = self.tables[name].mirror.mark
         if mark is None:
             return True
-        known_ms = self.store_clock.local_ms(mark.store_ms)
-        stale_ms = self.tables[name].watch.wait_ms + STALE_MARGIN_MS
-        if self.loop.now_ms() - known_ms > stale_ms:
-            return True
+        now_ms = self.loop.now_ms()
+        if now_ms < self.settled_ms:
+            return False
         members = self.board.zone_members()
-        return rendezvous.ranked(name, members, 1)[0] == self.settings.vm
+        rank = rendezvous.ranked(name, members).index(self.settings.vm)
+        if rank == 0:
+            return True
+        age_ms = now_ms - self.store_clock.local_ms(mark.store_ms)
+        stale_ms = self.tables[name].watch.wait_ms + STALE_MARGIN_MS
+        return age_ms > stale_ms + min(rank, STALE_RANKS) * STALE_RANK_MS
 
 
 _NOTHING = table_mirror.Mark(0, 0, 0.0)
--- a/eelgrassknot/forwarding/peer_news.py
+++ b/eelgrassknot/forwarding/peer_news.py
@@ -62,9 +62,7 @@
         now_ms = self.loop.now_ms()
         sums = self.tally.engines()
         told = (
-            tuple(
-                (mark.table, mark.changed) for mark in self.knowledge.marks()
-            ),
+            self.knowledge.newest(),
             tuple(
                 (
                     engine,
--- a/tests/forwarding/peers.feature
+++ b/tests/forwarding/peers.feature
@@ -55,3 +55,15 @@
     Given a board with a peer b and a row that is no JSON
     When it reads the rows
     Then it is linked to b alone
+
+  Scenario: one VM of a zone watches a table, and others in turn if it is mute
+    Given a zone of 10 VMs that all know a table as of 10000 ms
+    Then 1 of them watches it at 10100 ms
+    And 1 of them watches it at 13150 ms
+    And 2 of them watch it at 13400 ms
+    And 10 of them watch it at 14200 ms
+
+  Scenario: VMs that start together do not all watch what they have just read
+    Given a zone of 10 VMs that start and read a table at 10000 ms
+    Then 0 of them watch it at 11400 ms
+    And 1 of them watches it at 11600 ms
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -29,6 +29,10 @@
         self.timers = []
         self.order = itertools.count()
 
+    @property
+    def clock(self):
+        return self
+
     def now_ms(self):
         return self.time_ms
 
@@ -67,7 +71,8 @@
                 availability_zone=zone, regions=world.regions
             ),
             board=self,
-            marks=lambda: (),
+            marks=tuple,
+            newest=tuple,
         )
         self.tally = peer_tally.PeerTally(self.desk, pool, loop)
         self.news = peer_news.PeerNews(knowledge, self.tally, loop)
--- a/tests/steps/forwarding_peers.py
+++ b/tests/steps/forwarding_peers.py
@@ -7,9 +7,14 @@
 import result
 
 from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import dialect as dialects
+from eelgrassknot.forwarding import knowledge
 from eelgrassknot.forwarding import peer_board
 from eelgrassknot.forwarding import peer_roster
 from eelgrassknot.forwarding import row_store
+from eelgrassknot.kernel import registry
+from eelgrassknot.settings import entry as entry_settings
+from standins import users_platform
 from tests import peer_world
 
 
@@ -138,6 +143,59 @@
     assert sorted(filter(None, forgotten)) == [[vm]], forgotten
 
 
+TABLE = 'servers'
+
+
+def _knowledge(vm, members, loop):
+    dialect = dialects.DIALECTS.lookup('users')
+    ports = dict.fromkeys(('callers', 'readiness', 'peers', 'metrics'), 1)
+    document = users_platform.entry_settings(vm, 'z', ports, '127.0.0.1:1')
+    known = knowledge.Knowledge(
+        msgspec.convert(document, entry_settings.EntrySettings),
+        dialect,
+        loop,
+        random.Random(1),
+        knowledge.Listener(),
+    )
+    rows = {each: peer_roster.VmRow(each, 'z') for each in members}
+    known.board.roster.take_rows(rows, loop.now_ms())
+    return known
+
+
+@behave.given('a zone of {size:d} VMs that all know a table as of {now:d} ms')
+def zone_knows(context, size, now):
+    registry.load_plugins('eelgrassknot.platform')
+    context.loop = peer_world.SimulatedLoop()
+    context.loop.run_until(now)
+    members = [f'vm-{number}' for number in range(size)]
+    context.known = [_knowledge(vm, members, context.loop) for vm in members]
+    page = row_store.RowPage((), 1, now)
+    for known in context.known:
+        known.store_clock.observe(now, now, now)
+        known.tables[TABLE].mirror.take_whole(page, 1)
+
+
+@behave.given(
+    'a zone of {size:d} VMs that start and read a table at {now:d} ms'
+)
+def zone_starts(context, size, now):
+    zone_knows(context, size, now)
+    for known in context.known:
+        known.settled_ms = now + knowledge.SETTLE_MS
+
+
+@behave.then('{count:d} of them watch it at {now:d} ms')
+@behave.then('{count:d} of them watches it at {now:d} ms')
+def watchers(context, count, now):
+    context.loop.run_until(now)
+    watching = []
+    for known in context.known:
+        for vm in known.board.roster.listed:
+            known.board.roster.heard(vm, now)
+        watching.append(known._should_watch(TABLE))
+    assert sum(watching) == count, watching
+
+
 class _Rows:
     """The store as the board sees it."""
 
