A VM that starts has no repeats saved up

Cause: found by a scenario of six VMs that are killed and started again: each began with its whole share of the burst, so two starts in one window allowed 336 repeats where ratio and burst allow 292. Change: a VM's budget starts empty and is earned by its requests. Result: the three histories stay within ratio and burst; the scenario failed first.

--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -58,7 +58,7 @@
         burst = self.retry_burst()
         if service not in self.budgets:
             self.budgets[service] = retry_budget.RetryBudget(
-                self.retry_ratio, burst
+                self.retry_ratio, burst, saved=0.0
             )
         self.budgets[service].limit(burst)
         return self.budgets[service]
--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -17,6 +17,10 @@
     Args:
         retries_per_request: What one request earns.
         max_saved: Retries that are saved at most.
+        saved: Retries that may be made at the start, or None for as many
+            as are saved at most. A VM that shares a budget starts with
+            none: it may have been started again, and its earlier run has
+            spent them.
 
     Attributes:
         saved: Retries that may be made now.
@@ -26,10 +30,11 @@
         self,
         retries_per_request: float = RETRIES_PER_REQUEST,
         max_saved: float = MAX_SAVED_RETRIES,
+        saved: float | None = None,
     ) -> None:
         self.retries_per_request = retries_per_request
         self.max_saved = max_saved
-        self.saved = max_saved
+        self.saved = max_saved if saved is None else saved
 
     def limit(self, max_saved: float) -> None:
         """Change how many retries are saved at most.
--- a/standins/proxy_flow.py
+++ b/standins/proxy_flow.py
@@ -96,14 +96,15 @@
     """A caller's connection and the one to the target.
 
     Attributes:
-        silent: Whether its bytes are lost from now on.
+        lost: Directions whose bytes are lost from now on; True is the
+            one towards the server.
     """
 
     def __init__(
         self, link: object, client: socket.socket, server: socket.socket
     ) -> None:
         self.link = link
-        self.silent = False
+        self.lost: frozenset[bool] = frozenset()
         self.closed = False
         self.client = client
         self.flows = (
--- a/standins/proxy_loop.py
+++ b/standins/proxy_loop.py
@@ -22,6 +22,14 @@
 MAX_QUEUED_BYTES = 262_144
 RESET_LINGER = struct.pack('ii', 1, 0)
 HOST = '127.0.0.1'
+# Directions in which bytes are lost; True is the one towards the server.
+_LOST = {
+    'none': frozenset(),
+    'old': frozenset((True, False)),
+    'all': frozenset((True, False)),
+    'requests': frozenset((True,)),
+    'answers': frozenset((False,)),
+}
 
 
 class LinkOrder(msgspec.Struct):
@@ -44,7 +52,8 @@
         links: Parts of names; a link is meant if it contains one.
         refuse: Whether new connections are refused.
         black_hole: ``none``, ``old`` (connections open now fall silent
-            for good) or ``all`` (new ones too).
+            for good), ``all`` (new ones too), or ``requests`` or
+            ``answers`` (all, in that direction only).
         reset: Whether to reset the open connections now.
         half_close: Whether to end the direction towards callers now,
             while the other one stays open.
@@ -68,7 +77,7 @@
         self.target = (host, int(port))
         self.group = order.group
         self.delay_ms = order.delay_ms
-        self.black_hole_new = False
+        self.lost_new: frozenset[bool] = frozenset()
         self.listener: socket.socket | None = None
         self.port = 0
         self.pairs: set[proxy_flow.Pair] = set()
@@ -162,10 +171,10 @@
         if order.delay_ms is not None:
             link.delay_ms = order.delay_ms
         if order.black_hole is not None:
-            link.black_hole_new = order.black_hole == 'all'
-            if order.black_hole != 'none':
-                for pair in link.pairs:
-                    pair.silent = True
+            lost = _LOST[order.black_hole]
+            link.lost_new = frozenset() if order.black_hole == 'old' else lost
+            for pair in link.pairs:
+                pair.lost |= lost
         if order.reset:
             for pair in list(link.pairs):
                 self._close(pair, reset=True)
@@ -199,7 +208,7 @@
         link.accepted += 1
         server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         pair = proxy_flow.Pair(link, client, server)
-        pair.silent = link.black_hole_new
+        pair.lost = link.lost_new
         link.pairs.add(pair)
         for end in (client, server):
             end.setblocking(False)
@@ -242,7 +251,7 @@
         except BlockingIOError:
             return
         except OSError:
-            if pair.silent:
+            if pair.lost:
                 flow.ended = True
                 self._watch(flow)
             else:
@@ -250,7 +259,7 @@
             return
         if not data:
             flow.ended = True
-        if not pair.silent:
+        if flow.towards_server not in pair.lost:
             self._schedule(flow, data)
         self._watch(flow)
 
@@ -276,7 +285,8 @@
         now_s = time.monotonic()
         while self.deliveries and self.deliveries[0][0] <= now_s:
             _, _, flow, data = heapq.heappop(self.deliveries)
-            if not flow.pair.closed and not flow.pair.silent:
+            lost = flow.towards_server in flow.pair.lost
+            if not flow.pair.closed and not lost:
                 self._make_ready(flow, data)
 
     def _make_ready(self, flow: proxy_flow.Flow, data: bytes) -> None:
--- a/tests/forwarding/peers.feature
+++ b/tests/forwarding/peers.feature
@@ -8,33 +8,33 @@
 
   Scenario: many VMs are linked by zone, and two gateways by zone to the others
     Given 6 zones of 10 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     Then each zone has 2 gateways that are linked to 10 far VMs
     And no other VM is linked to more than 9
 
   Scenario: what is placed is counted once at each VM of a large deployment
     Given 6 zones of 10 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     And each VM places 5 runs at the engine e1 and 1500 ms pass
     Then each VM counts 300 runs at e1
 
   Scenario: a VM's messages grow with its zone, not with the deployment
     Given 6 zones of 10 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     And each VM places a run every 100 ms for 5000 ms
     Then no VM sends over 150 messages a second on its own account
     And no gateway sends over 400 a second in all
 
   Scenario: a gateway that ends is replaced on both sides
     Given 6 zones of 10 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     And both gateways of the zone z0 end and 5000 ms pass
     And each VM places 5 runs at the engine e1 and 1500 ms pass
     Then each VM counts 290 runs at e1
 
   Scenario: sums of a zone that is cut off are forgotten, its VMs go on
     Given 6 zones of 10 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     And each VM places 5 runs at the engine e1 and 1500 ms pass
     And the zone z5 is cut off and 5000 ms pass
     Then each VM of z5 counts 50 runs at e1
@@ -42,7 +42,7 @@
 
   Scenario: the row of a VM that ended is deleted by one VM of its zone
     Given 6 zones of 4 entry VMs that tell each other
-    When 2000 ms pass
+    When the VMs run for 2000 ms
     And the VM z1-2 ends and 61000 ms pass
     Then exactly one VM forgets z1-2 and nothing else is forgotten
 
--- a/tests/policy/small_parts.feature
+++ b/tests/policy/small_parts.feature
@@ -47,3 +47,15 @@
   Scenario: a retry budget that more VMs share shrinks at once
     Then a full budget of 10 retries allows 4 once its share is 4
     And 20 requests earn 4 retries, and no more are saved
+
+  Scenario Outline: repeats of all VMs stay within what they share
+    Given 6 VMs that share a burst of 52 repeats and a ratio of 0.2
+    When each gets 20 requests a second, all of which want a repeat, for 60 s
+    And all VMs are killed and started again every <gap> s
+    Then in no 10 s there are more repeats than the ratio and the burst allow
+
+    Examples:
+      | gap  |
+      | 1000 |
+      | 25   |
+      | 6    |
--- a/tests/steps/forwarding_peers.py
+++ b/tests/steps/forwarding_peers.py
@@ -23,7 +23,7 @@
     context.world = peer_world.PeerWorld(zones, size)
 
 
-@behave.when('{passed:d} ms pass')
+@behave.when('the VMs run for {passed:d} ms')
 def time_passes(context, passed):
     loop = context.world.loop
     loop.run_until(loop.now_ms() + passed)
--- a/tests/steps/policy_small_parts.py
+++ b/tests/steps/policy_small_parts.py
@@ -263,3 +263,53 @@
     while budget.spend():
         count += 1
     return count
+
+
+@behave.given(
+    '{vms:d} VMs that share a burst of {burst:d} repeats and a ratio of '
+    '{ratio:g}'
+)
+def sharing_vms(context, vms, burst, ratio):
+    context.burst, context.ratio = burst, ratio
+
+    context.start = lambda: [
+        retry_budget.RetryBudget(ratio, burst / vms, saved=0.0)
+        for _ in range(vms)
+    ]
+
+
+@behave.when(
+    'each gets {rate:d} requests a second, all of which want a repeat, for '
+    '{length:d} s'
+)
+def requests_repeat(context, rate, length):
+    context.rate, context.length = rate, length
+
+
+@behave.when('all VMs are killed and started again every {gap:d} s')
+def killed_again(context, gap):
+    context.requests, context.repeats = [], []
+    budgets = context.start()
+    for second in range(context.length):
+        if second and second % gap == 0:
+            budgets = context.start()
+        made = 0
+        for budget in budgets:
+            for _ in range(context.rate):
+                budget.earn()
+                made += budget.spend()
+        context.requests.append(context.rate * len(budgets))
+        context.repeats.append(made)
+
+
+@behave.then(
+    'in no {window:d} s there are more repeats than the ratio and the burst '
+    'allow'
+)
+def repeats_bounded(context, window):
+    for start in range(context.length - window + 1):
+        end = start + window
+        requests = sum(context.requests[start:end])
+        repeats = sum(context.repeats[start:end])
+        allowed = context.ratio * requests + context.burst
+        assert repeats <= allowed, (start, repeats, allowed)
