A started VM may repeat a call or two before requests have earned it

Change: a VM starts with a quarter of its share and saves three quarters at most, so that a start after a kill stays within the share.

--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -55,12 +55,12 @@
 
     def budget(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
         """Return the retry budget of a service."""
-        burst = self.retry_burst()
+        share = self.retry_burst()
         if service not in self.budgets:
-            self.budgets[service] = retry_budget.RetryBudget(
-                self.retry_ratio, burst, saved=0.0
+            self.budgets[service] = retry_budget.RetryBudget.of_vm(
+                self.retry_ratio, share
             )
-        self.budgets[service].limit(burst)
+        self.budgets[service].limit_share(share)
         return self.budgets[service]
 
 
--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -9,6 +9,9 @@
 
 RETRIES_PER_REQUEST = 0.2
 MAX_SAVED_RETRIES = 20.0
+START_SHARE = 0.25
+"""Part of its share with which a VM starts; a shed call or two can be sent
+again before requests have earned it."""
 
 
 class RetryBudget:
@@ -18,9 +21,7 @@
         retries_per_request: What one request earns.
         max_saved: Retries that are saved at most.
         saved: Retries that may be made at the start, or None for as many
-            as are saved at most. A VM that shares a budget starts with
-            none: it may have been started again, and its earlier run has
-            spent them.
+            as are saved at most.
 
     Attributes:
         saved: Retries that may be made now.
@@ -36,6 +37,28 @@
         self.max_saved = max_saved
         self.saved = max_saved if saved is None else saved
 
+    @classmethod
+    def of_vm(cls, retries_per_request: float, share: float) -> 'RetryBudget':
+        """Return the budget of a VM that has just started.
+
+        It starts with a part of the VM's share and never saves the rest of
+        it: the VM's earlier run may have spent as much just before.
+
+        Args:
+            retries_per_request: What one request earns.
+            share: This VM's share of the burst that all VMs may make.
+
+        Example:
+            >>> RetryBudget.of_vm(0.2, 8.0).saved
+            2.0
+        """
+        kept = share * (1 - START_SHARE)
+        return cls(retries_per_request, kept, share * START_SHARE)
+
+    def limit_share(self, share: float) -> None:
+        """Follow a change of this VM's share of the burst."""
+        self.limit(share * (1 - START_SHARE))
+
     def limit(self, max_saved: float) -> None:
         """Change how many retries are saved at most.
 
