Operators can look at a deployment and check a desired state

Cause: status and check worked on the product's own text alone. Change: 'deployment status STORE' lists the state in force, upstreams and entry VMs; 'deployment check FILE' lists what cannot work in a state that can be read: unknown services, no weights, hidden routes, objectives beyond timeouts, shared keys (none is shown). A VM that adopts such a state logs the first five faults.

--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import refusals
 from eelgrassknot.forwarding import routing
+from eelgrassknot.forwarding import state_check
 from eelgrassknot.forwarding import stream_driver
 from eelgrassknot.forwarding import work as works
 from eelgrassknot import ids
@@ -18,6 +19,8 @@
 
 __all__ = ['Forwarder']
 
+MAX_LOGGED_FAULTS = 5
+"""Faults of one state that are logged; the command line lists all."""
 RETRY_AFTER_MS = 500.0
 """Retry-After while this VM does not know enough to serve; ms. Another
 VM takes the repeat."""
@@ -70,6 +73,8 @@
             services=len(state.services),
             accounts=len(state.accounts),
         )
+        for fault in state_check.check_state(state)[:MAX_LOGGED_FAULTS]:
+            logs.warning('state_fault', version=state.version, fault=fault)
 
     def forget(self, connection: caller_connection.CallerConnection) -> None:
         """Take in that a caller's connection has ended."""
--- /dev/null
+++ b/eelgrassknot/forwarding/overview.py
@@ -0,0 +1,130 @@
+"""What the platform's store says of a deployment, for operators."""
+
+import collections.abc
+
+import msgspec
+import result
+
+from eelgrassknot import exceptions
+from eelgrassknot.forwarding import dialect as dialects
+from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import peer_board
+from eelgrassknot.forwarding import peer_roster
+from eelgrassknot.forwarding import row_store
+from eelgrassknot import ids
+
+__all__ = ['Overview', 'UpstreamLine', 'VmLine', 'read_overview']
+
+UNREADABLE = 'unreadable'
+
+
+class UpstreamLine(msgspec.Struct, frozen=True):
+    """One upstream that is listed.
+
+    Attributes:
+        state: Its state, or ``unreadable`` if its entry names none.
+    """
+
+    upstream: str
+    service: str
+    availability_zone: str
+    address: str
+    state: str
+
+
+class VmLine(msgspec.Struct, frozen=True):
+    """One entry VM that has written a row."""
+
+    vm: str
+    availability_zone: str
+    address: str
+
+
+class Overview(msgspec.Struct, frozen=True):
+    """What is listed in the store.
+
+    Attributes:
+        state_version: Version of the state in force; None before the first.
+    """
+
+    state_version: int | None
+    routes: int
+    accounts: int
+    upstreams: list[UpstreamLine]
+    vms: list[VmLine]
+
+
+def read_overview(
+    store: row_store.RowStore,
+    dialect: dialects.Dialect,
+    regions: collections.abc.Mapping[str, str],
+) -> result.Result[Overview, exceptions.EelgrassknotError]:
+    """Read the tables of a deployment, three calls in all.
+
+    Args:
+        store: Client of the store.
+        dialect: Adapter of the platform.
+        regions: Region of each availability zone; may be empty.
+    """
+    pages = []
+    for table in (
+        dialect.config_table,
+        dialect.upstreams_table,
+        peer_board.VMS_TABLE,
+    ):
+        page = store.read_table(table)
+        if isinstance(page, result.Err):
+            return page
+        pages.append(page.ok_value)
+    states, upstreams, vms = pages
+    state = None
+    for row in states.rows:
+        if row.key == dialect.config_key:
+            decoded = dialect.decode_state(row.value)
+            if isinstance(decoded, result.Err):
+                return decoded
+            state = decoded.ok_value
+    return result.Ok(
+        Overview(
+            state_version=state.version if state else None,
+            routes=len(state.routes) if state else 0,
+            accounts=len(state.accounts) if state else 0,
+            upstreams=[
+                _upstream_line(row.key, dialect.decode_upstream, row, regions)
+                for row in upstreams.rows
+            ],
+            vms=[_vm_line(row) for row in vms.rows],
+        )
+    )
+
+
+def _upstream_line(
+    name: str,
+    decode: collections.abc.Callable,
+    row: row_store.StoreRow,
+    regions: collections.abc.Mapping[str, str],
+) -> UpstreamLine:
+    decoded: result.Result[model.Upstream, exceptions.MalformedAnswerError] = (
+        decode(name, row.value, regions)
+    )
+    match decoded:
+        case result.Ok(found):
+            return UpstreamLine(
+                name,
+                found.service,
+                found.availability_zone,
+                found.address,
+                found.state.value,
+            )
+        case _:
+            return UpstreamLine(name, '', '', '', UNREADABLE)
+
+
+def _vm_line(row: row_store.StoreRow) -> VmLine:
+    try:
+        found = msgspec.json.decode(row.value, type=peer_roster.VmRow)
+    except msgspec.MsgspecError:
+        # Shown as it is: the VMs themselves log why they leave it out.
+        return VmLine(row.key, '', UNREADABLE)
+    zone = ids.AvailabilityZoneId(found.availability_zone)
+    return VmLine(row.key, zone, found.address)
--- /dev/null
+++ b/eelgrassknot/forwarding/state_check.py
@@ -0,0 +1,133 @@
+"""Finds what cannot work in a deployment's state, though it can be read."""
+
+import collections
+
+from eelgrassknot.forwarding import model
+from eelgrassknot.settings import faults
+
+__all__ = ['check_state']
+
+
+def check_state(state: model.DeploymentState) -> list[faults.Fault]:
+    """Return the faults of a state, the routes' first.
+
+    Args:
+        state: The state.
+
+    Example:
+        >>> limits = model.CallerLimits(8_192, 65_536, 1_000.0, 15_000.0)
+        >>> check_state(model.DeploymentState(1, (), {}, (), limits, False))
+        []
+    """
+    return [
+        *_route_faults(state),
+        *_twins(state),
+        *_account_faults(state),
+    ]
+
+
+def _route_faults(state: model.DeploymentState) -> list[faults.Fault]:
+    found = []
+    for route in state.routes:
+        path = f'$.routes[{faults.quoted(route.name)}]'
+        found += _share_faults(path, route, state)
+        if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+            found.append(
+                faults.Fault(
+                    faults.child(path, 'prefix'),
+                    f'{faults.quoted(route.prefix)} does not begin and end '
+                    'with a slash',
+                    'write the prefix between slashes',
+                )
+            )
+        if route.timeout_ms <= 0:
+            found.append(
+                faults.Fault(
+                    faults.child(path, 'timeout'),
+                    'no request can be answered in no time',
+                    'write a number of milliseconds above 0',
+                )
+            )
+        elif route.objective_ms > route.timeout_ms:
+            found.append(
+                faults.Fault(
+                    faults.child(path, 'objective'),
+                    'the objective is beyond the timeout',
+                    'raise the timeout or lower the objective',
+                )
+            )
+    return found
+
+
+def _share_faults(
+    path: str, route: model.Route, state: model.DeploymentState
+) -> list[faults.Fault]:
+    found = []
+    if not route.shares:
+        found.append(
+            faults.Fault(
+                path, 'no service is named', 'name the service of the route'
+            )
+        )
+    elif sum(share.weight for share in route.shares) <= 0:
+        found.append(
+            faults.Fault(
+                path, 'all weights are 0', 'give a service a weight above 0'
+            )
+        )
+    for share in route.shares:
+        service = state.services.get(share.service)
+        if service is None:
+            found.append(
+                faults.Fault(
+                    path,
+                    f'the service {faults.quoted(share.service)} is unknown',
+                    'add that service, or name another',
+                )
+            )
+        elif route.kind is model.RouteKind.STREAMING and not service.engine:
+            found.append(
+                faults.Fault(
+                    path,
+                    f'{faults.quoted(share.service)} has no engines, but the '
+                    'route is for streams',
+                    'describe its engines, or change the kind of the route',
+                )
+            )
+    return found
+
+
+def _twins(state: model.DeploymentState) -> list[faults.Fault]:
+    """Return the routes that another one of the same host hides."""
+    found = []
+    seen: dict[tuple[str, str], str] = {}
+    for route in state.routes:
+        place = (route.host, route.prefix)
+        first = seen.setdefault(place, route.name)
+        if first != route.name:
+            found.append(
+                faults.Fault(
+                    f'$.routes[{faults.quoted(route.name)}]',
+                    f'{faults.quoted(first)} has the same host and prefix',
+                    'remove one of the two, or change its prefix',
+                )
+            )
+    return found
+
+
+def _account_faults(state: model.DeploymentState) -> list[faults.Fault]:
+    """Return the accounts that share a key; no key is shown."""
+    holders: dict[str, set[str]] = collections.defaultdict(set)
+    for account in state.accounts:
+        for key in account.keys:
+            holders[key].add(account.account)
+    shared = {tuple(sorted(names)) for names in holders.values()}
+    return [
+        faults.Fault(
+            f'$.accounts[{faults.quoted(names[0])}]',
+            f'a key belongs to {", ".join(names[1:])} as well',
+            'give each account keys of its own',
+        )
+        for names in sorted(shared)
+        if len(names) > 1
+    ]
