A fault soak of real entry VMs

Change: rounds with a seed: entry VMs as processes behind links that fail (reset, silent, one way, slow), frozen, killed, drained and started again; a store that is away, loses answers and history; servers that leave, crash, lapse, shed and cut; a key taken away. Callers go on meanwhile. Cut answers around a drain are not checked yet.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -116,6 +116,9 @@
         rows: Value and version of each row by table and key.
         state: The desired state that is in force.
         runs: How often each request was run, over all servers.
+        run_times: Server and time of each run, in s of the steady clock.
+        lost_answers: How many calls are still to be done without an answer.
+        oldest: Changes before this version are forgotten.
     """
 
     def __init__(self) -> None:
@@ -126,6 +129,11 @@
         self.state: dict = {}
         self.log: list[tuple[int, str, str]] = []
         self.runs: collections.Counter = collections.Counter()
+        self.run_times: dict[str, list[tuple[str, float]]] = (
+            collections.defaultdict(list)
+        )
+        self.lost_answers = 0
+        self.oldest = 0
         self.upstreams: dict[str, 'Upstream'] = {}
         self.copies: dict[tuple[str, str], str] = {}
         self.server = _Server(self, _StoreHandler)
@@ -165,6 +173,11 @@
             upstream.server.stop()
         self.server.stop()
 
+    def note_run(self, request: str, upstream: str) -> None:
+        """Count a run of a request."""
+        self.runs[request] += 1
+        self.run_times[request].append((upstream, time.monotonic()))
+
     def changes(self, table: str, after: int) -> list[dict]:
         """Return the rows of a table that changed after a version."""
         with self.lock:
@@ -243,6 +256,9 @@
         host, port = self.server_address[:2]
         return f'{host}:{port}'
 
+    def handle_error(self, *_: object) -> None:
+        """Print nothing: callers that go away are part of the tests."""
+
     def stop(self) -> None:
         self.shutdown()
         self.server_close()
@@ -294,6 +310,9 @@
 
     def feed(self, table: str, after: int, wait_ms: float) -> None:
         platform = self.server.owner
+        if after < platform.oldest:
+            self.answer(410, {}, b'')
+            return
         end_s = time.monotonic() + wait_ms / 1_000
         rows = platform.changes(table, after)
         while not rows and time.monotonic() < end_s and not platform.is_down:
@@ -323,10 +342,15 @@
         self.tell([])
 
     def tell(self, rows: list[dict], status: int = 200) -> None:
+        platform = self.server.owner
+        if platform.lost_answers > 0:
+            platform.lost_answers -= 1
+            self.close_connection = True
+            return
         document = {
             'rows': rows,
             'hasMore': False,
-            'ver': self.server.owner.version,
+            'ver': platform.version,
             'nowMs': time.monotonic() * 1_000,
         }
         self.answer(status, {}, json.dumps(document).encode())
@@ -362,7 +386,7 @@
         elif upstream.service == 'writer':
             self.stream(request)
         else:
-            upstream.platform.runs[request] += 1
+            upstream.platform.note_run(request, upstream.name)
             self.call(request, fault, body)
 
     def call(self, request: str, fault: str, body: bytes) -> None:
@@ -405,7 +429,7 @@
                 self.answer(503, {'Not-Executed': '1'}, b'')
                 return
         else:
-            upstream.platform.runs[request] += 1
+            upstream.platform.note_run(request, upstream.name)
         copy_to = self.headers['Kv-Backup']
         if copy_to is not None:
             key = (copy_to, f'{copy_to}/{request}')
--- /dev/null
+++ b/tests/entry_soak.py
@@ -0,0 +1,355 @@
+"""Seeded faults on real entry VMs, with callers that go on meanwhile.
+
+Run it as ``python -m tests.entry_soak --first 1 --count 50``. Each round
+starts the stand-in of the platform and some entry VMs as processes behind
+links that can fail, and injects faults in series and overlapping.
+"""
+
+import random
+import signal
+import threading
+import time
+
+import typer
+
+from standins import entry_checks
+from standins import proxy_loop
+from standins import users_platform
+from tests import entry_process
+
+__all__ = ['Round', 'main']
+
+ROUND_S = 8.0
+CALLERS = 6
+AFTER_FAILURE_S = 0.05
+KEY_BOUND_MS = 2_000
+RECOVERY_S = 15.0
+REST_S = (0.1, 1.2)
+"""Pause between two faults; most last longer, so that they overlap."""
+LINK_FAULTS = ('reset', 'old', 'requests', 'answers', 'all', 'slow')
+
+
+class Round:
+    """One round.
+
+    Args:
+        seed: Of the faults and their times.
+        vms: How many entry VMs.
+        length_s: How long faults are injected.
+    """
+
+    def __init__(self, seed, vms=3, length_s=ROUND_S):
+        self.generator = random.Random(seed)
+        self.length_s = length_s
+        self.record = entry_checks.Record(bound_s=KEY_BOUND_MS / 1_000)
+        self.platform = users_platform.Platform()
+        self.platform.put_state(users_platform.desired_state(1))
+        self.proxy = proxy_loop.ProxyLoop()
+        threading.Thread(target=self.proxy.run, daemon=True).start()
+        self.servers = {}
+        for number in range(3):
+            self.start_server('desk')
+            self.start_server('writer')
+        self.names = [f'vm-{number}' for number in range(vms)]
+        self.entries = {vm: self.start_entry(vm) for vm in self.names}
+        self.told_to_end = set()
+        self.timers = []
+        self.stopping = threading.Event()
+        self.faults = []
+
+    def start_server(self, service):
+        """Start a server behind a link that can fail."""
+        name = f'{service}-{len(self.servers)}'
+        server = users_platform.Upstream(self.platform, name, service, 0)
+        self.servers[name] = server
+        server.tell('ready', self.open_link(name, server.address))
+
+    def open_link(self, name, target):
+        """Return the address of a new link through the proxy."""
+        order = proxy_loop.LinkOrder(name, target)
+        opened = self.proxy.call(lambda: self.proxy.open_links([order]))
+        return opened[name]
+
+    def start_entry(self, vm):
+        """Start an entry VM, each time behind a new link to the store."""
+        store = self.open_link(f'store-{vm}', self.platform.address)
+        return entry_process.EntryProcess(store, vm, revoke_ms=KEY_BOUND_MS)
+
+    def run(self):
+        """Play the round and return its violations."""
+        for entry in self.entries.values():
+            entry.wait_ready()
+        callers = [
+            threading.Thread(target=self.call_on, args=(number,), daemon=True)
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        end_s = time.monotonic() + self.length_s
+        while time.monotonic() < end_s:
+            self.inject()
+            time.sleep(self.generator.uniform(*REST_S))
+        for timer in self.timers:
+            timer.join()
+        self.heal()
+        self.await_recovery()
+        self.stopping.set()
+        for caller in callers:
+            caller.join()
+        return self.finish()
+
+    # Faults
+
+    def inject(self):
+        """Inject one fault that the seed chooses."""
+        faults = (
+            (4, self.freeze),
+            (3, self.kill),
+            (2, self.terminate),
+            (4, self.fail_link),
+            (2, self.store_away),
+            (2, self.store_loses),
+            (3, self.change_servers),
+            (2, self.shed),
+            (2, self.change_keys),
+        )
+        weights = [weight for weight, _ in faults]
+        ((_, fault),) = self.generator.choices(faults, weights)
+        self.faults.append(fault.__name__)
+        fault()
+
+    def later(self, delay_s, action):
+        """Do something after a while, whatever else happens."""
+        timer = threading.Timer(delay_s, action)
+        timer.start()
+        self.timers.append(timer)
+
+    def freeze(self):
+        """Stop a VM and let it go on later."""
+        process = self.entries[self.generator.choice(self.names)].process
+        process.send_signal(signal.SIGSTOP)
+        delay_s = self.generator.uniform(0.1, 3.0)
+        self.later(delay_s, lambda: process.send_signal(signal.SIGCONT))
+
+    def kill(self):
+        """Kill a VM and start it again."""
+        self.replace(signal.SIGKILL)
+
+    def terminate(self):
+        """Have a VM drain and start it again when it has ended."""
+        self.replace(signal.SIGTERM)
+
+    def replace(self, number):
+        """End a VM by a signal; another run of it follows."""
+        vm = self.generator.choice(self.names)
+        old = self.entries[vm]
+        if old.process in self.told_to_end:
+            return
+        self.told_to_end.add(old.process)
+        old.process.send_signal(signal.SIGCONT)
+        old.process.send_signal(number)
+
+        def start_again():
+            old.process.wait()
+            old.stop()
+            self.entries[vm] = self.start_entry(vm)
+
+        self.later(0.1, start_again)
+
+    def fail_link(self):
+        """Harm a link for a while."""
+        links = [*self.servers, *(f'store-{vm}' for vm in self.names)]
+        name = self.generator.choice(links)
+        fault = self.generator.choice(LINK_FAULTS)
+        if fault == 'slow':
+            self.set_link(name, delay_ms=self.generator.uniform(20, 300))
+        elif fault == 'reset':
+            self.set_link(name, reset=True)
+        else:
+            self.set_link(name, black_hole=fault)
+        delay_s = self.generator.uniform(0.2, 3.0)
+        self.later(
+            delay_s,
+            lambda: self.set_link(name, black_hole='none', delay_ms=0.0),
+        )
+
+    def set_link(self, name, **fault):
+        """Set faults of a link."""
+        order = proxy_loop.FaultOrder([name], **fault)
+        self.proxy.call(lambda: self.proxy.set_faults(order))
+
+    def store_away(self):
+        """Have the store refuse all calls for a while."""
+        self.platform.is_down = True
+        self.later(self.generator.uniform(0.2, 3.0), self.store_back)
+
+    def store_back(self):
+        """Have the store answer again."""
+        self.platform.is_down = False
+
+    def store_loses(self):
+        """Lose answers of the store, or its history."""
+        if self.generator.random() < 0.5:
+            self.platform.lost_answers = self.generator.randint(1, 5)
+        else:
+            self.platform.oldest = self.platform.version + 1
+
+    def change_servers(self):
+        """Have a server leave, crash or lapse, and start another."""
+        name = self.generator.choice(list(self.servers))
+        server = self.servers.pop(name)
+        self.start_server(server.service)
+        how = self.generator.choice(('leave', 'crash', 'lapse'))
+        if how == 'leave':
+            server.tell('draining')
+        elif how == 'lapse':
+            self.platform.put('servers', name, None)
+        else:
+            server.crash()
+
+        def go():
+            self.platform.put('servers', name, None)
+            if how != 'crash':
+                server.crash()
+
+        self.later(self.generator.uniform(1.5, 2.5), go)
+
+    def shed(self):
+        """Have a server refuse, cut or lose the next requests."""
+        server = self.servers[self.generator.choice(list(self.servers))]
+        fault = self.generator.choice(('shed', 'cut', 'vanish', 'extra'))
+        server.faults = [fault] * self.generator.randint(1, 3)
+
+    def change_keys(self):
+        """Take a key away for good, or accept the same state again."""
+        state = dict(self.platform.state)
+        state['version'] += 1
+        if self.generator.random() < 0.5:
+            state['tenants'] = [{'name': 'acme', 'apiKeys': ['key-one']}]
+        self.platform.put_state(state)
+        if len(state['tenants'][0]['apiKeys']) == 1:
+            self.record.revoked_s.setdefault('key-two', time.monotonic())
+
+    def heal(self):
+        """End all faults of links and the store."""
+        self.store_back()
+        self.platform.lost_answers = 0
+        for name in self.proxy.links:
+            self.set_link(name, black_hole='none', reset=True, delay_ms=0.0)
+
+    # Callers
+
+    def call_on(self, number):
+        """Send requests one after another, on kept connections."""
+        generator = random.Random(number)
+        caller, vm, count = None, None, 0
+        while not self.stopping.is_set():
+            count += 1
+            if caller is None:
+                vm = generator.choice(self.names)
+                caller = self.connect(vm)
+                if caller is None:
+                    time.sleep(0.05)
+                    continue
+            call = entry_checks.Call(
+                f'c{number}-{count}',
+                generator.choice(('book', 'book', 'look', 'write')),
+                generator.choice(('key-one', 'key-two')),
+                vm,
+                time.monotonic(),
+            )
+            self.record.calls.append(call)
+            is_kept = self.ask(caller, call)
+            if call.status != 200:
+                time.sleep(AFTER_FAILURE_S)
+            if not is_kept or generator.random() < 0.1:
+                caller.stream.close()
+                caller = None
+
+    def connect(self, vm):
+        """Return a connection to a VM, or None if it is away."""
+        try:
+            return entry_process.Caller(self.entries[vm].ports['callers'])
+        except OSError:
+            return None
+
+    def ask(self, caller, call):
+        """Send a request; return whether the connection is kept."""
+        headers = {
+            'Request-Id': call.request,
+            'Credential': call.key,
+            'Token-Counts': '1000,160',
+        }
+        method = 'GET' if call.kind == 'look' else 'POST'
+        body = None if call.kind == 'look' else b'{}'
+        try:
+            answer = caller.ask(method, f'/{call.kind}/x', headers, body)
+        except OSError:
+            return False
+        call.status, call.body = answer.status, answer.body
+        call.is_whole = answer.is_whole
+        closes = answer.headers.get('connection') == 'close'
+        return answer.status != 0 and answer.is_whole and not closes
+
+    # The end
+
+    def await_recovery(self):
+        """Note the VMs that do not serve after all faults have ended."""
+        end_s = time.monotonic() + RECOVERY_S
+        for vm in self.names:
+            while not self.serves(vm):
+                if time.monotonic() > end_s:
+                    self.record.unserved.append(vm)
+                    break
+                time.sleep(0.1)
+
+    def serves(self, vm):
+        """Return whether a VM is ready and serves a lookup."""
+        entry = self.entries[vm]
+        if not entry.is_ready():
+            return False
+        caller = self.connect(vm)
+        if caller is None:
+            return False
+        call = entry_checks.Call('last', 'look', 'key-one', vm, 0.0)
+        self.ask(caller, call)
+        caller.stream.close()
+        return call.status == 200
+
+    def finish(self):
+        """End all processes and return the violations."""
+        for vm, entry in self.entries.items():
+            code = entry.process.poll()
+            if code is not None and entry.process not in self.told_to_end:
+                self.record.ended.append(f'{vm} ended with {code}')
+            entry.stop()
+        self.platform.stop()
+        self.record.runs = dict(self.platform.run_times)
+        return entry_checks.check(self.record)
+
+
+def main(
+    first: int = 1, count: int = 1, vms: int = 3, seconds: float = ROUND_S
+) -> None:
+    """Play rounds with seeds in a row; the exit code tells of violations."""
+    failed = []
+    for seed in range(first, first + count):
+        one = Round(seed, vms, seconds)
+        violations = one.run()
+        statuses = sorted({call.status for call in one.record.calls})
+        good = sum(call.status == 200 for call in one.record.calls)
+        typer.echo(
+            f'seed {seed}: {len(one.record.calls)} calls, {good} answered '
+            f'200, statuses {statuses}, {len(one.faults)} faults, '
+            f'{len(violations)} violations'
+        )
+        for violation in violations[:10]:
+            typer.echo(f'  {violation}')
+        if violations:
+            failed.append(seed)
+    typer.echo(f'rounds: {count}, with violations: {failed}')
+    raise typer.Exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    typer.run(main)
