--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -274,6 +274,7 @@
             since_ms=round(now_ms - self.work.started_ms, 1),
             engine_runs=sums.runs,
             engine_tokens=sums.tokens + sums.copy_tokens,
+            engine_unread=sums.unread_tokens,
         )
         attempt.wire = works.send(
             self.context,
