--- a/benchmarks/forwarding_cost.py
+++ b/benchmarks/forwarding_cost.py
@@ -19,6 +19,7 @@
 from eelgrassknot.kernel import registry
 from eelgrassknot import logs
 from eelgrassknot.settings import entry as entry_settings
+from standins import users_documents
 from standins import users_platform
 from tests import entry_process
 
@@ -50,14 +51,14 @@
 def _measure(count, ask, profile):
     """Return the loop's processor time for each request, in ms."""
     platform = users_platform.Platform()
-    platform.put_state(users_platform.desired_state(1))
+    platform.put_state(users_documents.desired_state(1))
     for number in (1, 2):
         platform.start_upstream(f'd{number}', 'desk')
         platform.start_upstream(f'w{number}', 'writer')
     ports = dict(
         zip(entry_process.LISTENERS, entry_process.free_ports(4), strict=True)
     )
-    document = users_platform.entry_settings(
+    document = users_documents.entry_settings(
         'vm-1', 'z', ports, platform.address
     )
     settings = msgspec.convert(document, entry_settings.EntrySettings)
--- /dev/null
+++ b/standins/users_store.py
@@ -0,0 +1,94 @@
+"""The store of the users' platform's stand-in: rows, feed, transactions."""
+
+import base64
+import json
+import time
+import urllib.parse
+
+from standins import users_http
+
+__all__ = ['StoreHandler', 'row_document']
+
+FEED_POLL_S = 0.01
+
+
+class StoreHandler(users_http.Handler):
+    """Rows, their feed and transactions."""
+
+    def do_GET(self) -> None:
+        platform = self.server.owner
+        path = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(path.query))
+        table = query.get('table', '')
+        if platform.is_down:
+            self.answer(503, {}, b'')
+        elif path.path == '/api/rows-get':
+            with platform.lock:
+                rows = [
+                    row_document(table, key, value, value[1])
+                    for (name, key), value in sorted(platform.rows.items())
+                    if name == table
+                ]
+            self.tell(rows)
+        else:
+            self.feed(table, int(query['afterRev']), float(query['waitMs']))
+
+    def feed(self, table: str, after: int, wait_ms: float) -> None:
+        platform = self.server.owner
+        if after < platform.oldest:
+            self.answer(410, {}, b'')
+            return
+        end_s = time.monotonic() + wait_ms / 1_000
+        rows = platform.changes(table, after)
+        while not rows and time.monotonic() < end_s and not platform.is_down:
+            time.sleep(FEED_POLL_S)
+            rows = platform.changes(table, after)
+        if platform.is_down:
+            self.answer(503, {}, b'')
+        else:
+            self.tell(rows)
+
+    def do_POST(self) -> None:
+        platform = self.server.owner
+        body = json.loads(self.read_body())
+        if platform.is_down:
+            self.answer(503, {}, b'')
+            return
+        for wanted in body['expectedRev']:
+            row = platform.rows.get((wanted['table'], wanted['key']))
+            if (row[1] if row else 0) != wanted['ver']:
+                self.tell([], 412)
+                return
+        for entry in body['writes']:
+            value = base64.b64decode(entry['value'])
+            platform.put(entry['table'], entry['key'], value)
+        for entry in body['deletes']:
+            platform.put(entry['table'], entry['key'], None)
+        self.tell([])
+
+    def tell(self, rows: list[dict], status: int = 200) -> None:
+        platform = self.server.owner
+        if platform.lost_answers > 0:
+            platform.lost_answers -= 1
+            self.close_connection = True
+            return
+        document = {
+            'rows': rows,
+            'hasMore': False,
+            'ver': platform.version,
+            'nowMs': time.monotonic() * 1_000,
+        }
+        self.answer(status, {}, json.dumps(document).encode())
+
+
+def row_document(
+    table: str, key: str, value: tuple[bytes, int] | None, version: int
+) -> dict:
+    return {
+        'table': table,
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(value[0]).decode() if value else '',
+        'ver': version,
+        'deleted': value is None,
+    }
--- /dev/null
+++ b/standins/users_upstream.py
@@ -0,0 +1,114 @@
+"""Servers of the users' platform's stand-in: plain ones and engines."""
+
+import json
+import threading
+import time
+
+from standins import users_http
+
+__all__ = ['UpstreamHandler']
+
+EVENT_INTERVAL_S = 0.02
+STREAM_EVENTS = 40
+
+
+class UpstreamHandler(users_http.Handler):
+    """A plain server and an engine."""
+
+    def setup(self) -> None:
+        super().setup()
+        self.server.owner.connections += 1
+
+    def do_GET(self) -> None:
+        self.serve()
+
+    def do_POST(self) -> None:
+        self.serve()
+
+    def serve(self) -> None:
+        upstream = self.server.owner
+        body = self.read_body()
+        if self.path == '/api/kv-move':
+            self.move(json.loads(body))
+            return
+        upstream.seen.append(dict(self.headers.items()))
+        upstream.bodies.append(body)
+        request = self.headers['Request-Id']
+        fault = upstream.faults.pop(0) if upstream.faults else ''
+        if self.headers['Expect-Instance'] != upstream.name:
+            self.answer(421, {'Instance-Id': upstream.name}, b'')
+        elif fault == 'shed':
+            self.answer(503, {'Not-Executed': '1'}, b'')
+        elif upstream.service == 'writer':
+            self.stream(request)
+        else:
+            upstream.platform.note_run(request, upstream.name)
+            self.call(request, fault, body)
+
+    def call(self, request: str, fault: str, body: bytes) -> None:
+        headers = {'Request-Id': request, 'Server-Stamp': f's-{request}'}
+        whole = b'answer to ' + request.encode() + b' ' + body
+        if fault == 'vanish':
+            self.close_connection = True
+        elif fault == 'cut':
+            self.send_response_only(200)
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.send_header('Content-Length', str(len(whole)))
+            self.end_headers()
+            self.wfile.write(whole[:-3])
+            self.close_connection = True
+        elif fault == 'unframed':
+            self.send_response_only(200)
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.end_headers()
+            self.wfile.write(whole)
+            self.close_connection = True
+        elif fault == 'forged':
+            self.answer(200, {'Request-Id': request}, whole)
+        else:
+            self.answer(200, headers, whole)
+            if fault == 'extra':
+                # Comes when the next answer is expected.
+                threading.Timer(
+                    0.05, self.answer, (200, headers, whole)
+                ).start()
+
+    def stream(self, request: str) -> None:
+        upstream = self.server.owner
+        source = self.headers['Kv-From']
+        start = int(self.headers.get('Last-Event-Id', 0))
+        if source is not None:
+            key = (upstream.address, source)
+            if upstream.platform.copies.pop(key, None) != request:
+                self.answer(503, {'Not-Executed': '1'}, b'')
+                return
+        else:
+            upstream.platform.note_run(request, upstream.name)
+        copy_to = self.headers['Kv-Backup']
+        if copy_to is not None:
+            key = (copy_to, f'{copy_to}/{request}')
+            upstream.platform.copies[key] = request
+        self.send_response_only(200)
+        self.send_header('Request-Id', request)
+        self.send_header('Server-Stamp', f's-{request}')
+        self.send_header('Content-Type', 'text/event-stream')
+        self.send_header('Transfer-Encoding', 'chunked')
+        self.end_headers()
+        for index in range(start + 1, STREAM_EVENTS + 1):
+            if upstream.broken.is_set():
+                self.close_connection = True
+                return
+            time.sleep(EVENT_INTERVAL_S)
+            event = f'id: {index}\ndata: {request} {index}\n\n'.encode()
+            self.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
+        self.wfile.write(b'0\r\n\r\n')
+
+    def move(self, call: dict) -> None:
+        upstream = self.server.owner
+        handle = f'h{len(upstream.platform.copies)}'
+        key = (call['to'], f'{upstream.address}/{handle}')
+        upstream.platform.copies[key] = call['id']
+        answer = {'handle': handle, 'created': 0}
+        self.answer(200, {}, json.dumps(answer).encode())
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 
-from standins import users_platform
+from standins import users_documents
 
 __all__ = [
     'Answer',
@@ -57,7 +57,7 @@
         self.ports = dict(zip(LISTENERS, free_ports(4), strict=True))
         settings = folder / 'settings.json'
         self.settings_path = settings
-        document = users_platform.entry_settings(vm, zone, self.ports, store)
+        document = users_documents.entry_settings(vm, zone, self.ports, store)
         document['rules'].update(rules)
         settings.write_text(json.dumps(document))
         self.log_path = folder / 'log'
--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -14,6 +14,7 @@
 
 from standins import entry_checks
 from standins import proxy_loop
+from standins import users_documents
 from standins import users_platform
 from tests import entry_process
 
@@ -43,7 +44,7 @@
         self.length_s = length_s
         self.record = entry_checks.Record(bound_s=KEY_BOUND_MS / 1_000)
         self.platform = users_platform.Platform()
-        self.platform.put_state(users_platform.desired_state(1))
+        self.platform.put_state(users_documents.desired_state(1))
         self.proxy = proxy_loop.ProxyLoop()
         threading.Thread(target=self.proxy.run, daemon=True).start()
         self.servers = {}
--- a/tests/steps/cli_deployment.py
+++ b/tests/steps/cli_deployment.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from standins import users_platform
+from standins import users_documents
 from tests import cli_process
 
 FILE = 'state.json'
@@ -18,7 +18,7 @@
     context.add_cleanup(directory.cleanup)
     context.directory = pathlib.Path(directory.name)
     context.platform_url = ''
-    context.state = users_platform.desired_state(1)
+    context.state = users_documents.desired_state(1)
     _write(context)
 
 
--- a/tests/steps/forwarding_peers.py
+++ b/tests/steps/forwarding_peers.py
@@ -14,7 +14,7 @@
 from eelgrassknot.forwarding import row_store
 from eelgrassknot.kernel import registry
 from eelgrassknot.settings import entry as entry_settings
-from standins import users_platform
+from standins import users_documents
 from tests import peer_world
 
 
@@ -149,7 +149,7 @@
 def _knowledge(vm, members, loop):
     dialect = dialects.DIALECTS.lookup('users')
     ports = dict.fromkeys(('callers', 'readiness', 'peers', 'metrics'), 1)
-    document = users_platform.entry_settings(vm, 'z', ports, '127.0.0.1:1')
+    document = users_documents.entry_settings(vm, 'z', ports, '127.0.0.1:1')
     known = knowledge.Knowledge(
         msgspec.convert(document, entry_settings.EntrySettings),
         dialect,
--- a/tests/steps/forwarding_whole_path.py
+++ b/tests/steps/forwarding_whole_path.py
@@ -10,6 +10,7 @@
 import behave
 import pycurl
 
+from standins import users_documents
 from standins import users_platform
 from tests import entry_process
 
@@ -21,7 +22,7 @@
 def given_platform(context):
     context.platform = users_platform.Platform()
     context.add_cleanup(context.platform.stop)
-    context.platform.put_state(users_platform.desired_state(1))
+    context.platform.put_state(users_documents.desired_state(1))
     context.desks = [
         context.platform.start_upstream(f'd{n}', 'desk') for n in (1, 2)
     ]
@@ -272,7 +273,7 @@
 
 @behave.when('a state without the route look is accepted')
 def without_route(context):
-    state = users_platform.desired_state(5)
+    state = users_documents.desired_state(5)
     state['routes'] = [r for r in state['routes'] if r['name'] != 'look']
     context.platform.put_state(state)
 
@@ -302,7 +303,7 @@
 
 @behave.when('the store is back with a state without the key key-two')
 def store_back(context):
-    state = users_platform.desired_state(7)
+    state = users_documents.desired_state(7)
     state['tenants'][0]['apiKeys'] = ['key-one']
     context.platform.put_state(state)
     context.platform.is_down = False
--- a/tests/steps/platform_translation.py
+++ b/tests/steps/platform_translation.py
@@ -13,7 +13,7 @@
 from eelgrassknot.platform import servers
 from eelgrassknot.platform import wire
 from eelgrassknot.settings import entry as entry_settings
-from standins import users_platform
+from standins import users_documents
 
 
 def _forward(raw):
@@ -62,7 +62,7 @@
 
 @behave.given('the desired state of the stand-in')
 def state_of_standin(context):
-    context.state = users_platform.desired_state(3)
+    context.state = users_documents.desired_state(3)
 
 
 def _decode(context):
@@ -92,7 +92,7 @@
 
 
 def _settings(change):
-    document = users_platform.entry_settings(
+    document = users_documents.entry_settings(
         'vm-1',
         'z',
         {'callers': 1, 'readiness': 2, 'peers': 3, 'metrics': 4},
