--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,12 @@
 soak: $(VENV)/.installed
 	$(RUN) -m standins.soak --minutes $(MINUTES) --seed $(SEED)
 
+FIRST ?= 1
+COUNT ?= 10
+
+.PHONY: entry-soak
+entry-soak: $(VENV)/.installed
+	$(RUN) -m tests.entry_soak --first $(FIRST) --count $(COUNT)
+
 controls: $(VENV)/.installed
 	$(RUN) -m tests.system.controls
