--- a/standins/users_documents.py
+++ b/standins/users_documents.py
@@ -71,7 +71,8 @@
         'vm': vm,
         'availability_zone': zone,
         'region': 'r',
-        'regions': {zone: 'r'},
+        # The servers' zone as well.
+        'regions': {zone: 'r', 'z': 'r'},
         'listen': {**listen, 'store': store},
         'memory_mb': 150,
         'descriptors': 4_200,
--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -37,9 +37,10 @@
         seed: Of the faults and their times.
         vms: How many entry VMs.
         length_s: How long faults are injected.
+        zones: Among how many availability zones they are spread.
     """
 
-    def __init__(self, seed, vms=3, length_s=ROUND_S):
+    def __init__(self, seed, vms=3, length_s=ROUND_S, zones=1):
         self.generator = random.Random(seed)
         self.length_s = length_s
         self.record = entry_checks.Record(bound_s=KEY_BOUND_MS / 1_000)
@@ -52,6 +53,9 @@
             self.start_server('desk')
             self.start_server('writer')
         self.names = [f'vm-{number}' for number in range(vms)]
+        self.zones = {
+            vm: f'z{number % zones}' for number, vm in enumerate(self.names)
+        }
         self.entries = {vm: self.start_entry(vm) for vm in self.names}
         self.told_to_end = set()
         self.timers = []
@@ -74,7 +78,9 @@
     def start_entry(self, vm):
         """Start an entry VM, each time behind a new link to the store."""
         store = self.open_link(f'store-{vm}', self.platform.address)
-        return entry_process.EntryProcess(store, vm, revoke_ms=KEY_BOUND_MS)
+        return entry_process.EntryProcess(
+            store, vm, self.zones[vm], revoke_ms=KEY_BOUND_MS
+        )
 
     def run(self):
         """Play the round and return its violations."""
@@ -330,12 +336,16 @@
 
 
 def main(
-    first: int = 1, count: int = 1, vms: int = 3, seconds: float = ROUND_S
+    first: int = 1,
+    count: int = 1,
+    vms: int = 3,
+    seconds: float = ROUND_S,
+    zones: int = 1,
 ) -> None:
     """Play rounds with seeds in a row; the exit code tells of violations."""
     failed = []
     for seed in range(first, first + count):
-        one = Round(seed, vms, seconds)
+        one = Round(seed, vms, seconds, zones)
         violations = one.run()
         statuses = sorted({call.status for call in one.record.calls})
         good = sum(call.status == 200 for call in one.record.calls)
