--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -29,7 +29,7 @@
 from eelgrassknot.forwarding import settings_reload
 from eelgrassknot.forwarding import upstream_link
 from eelgrassknot.forwarding import work as works
-from eelgrassknot.forwarding import zone_news
+from eelgrassknot.forwarding import zone_digests
 from eelgrassknot import ids
 from eelgrassknot.kernel import registry
 from eelgrassknot import logs
@@ -95,7 +95,7 @@
             self.desk, self.plain_pool, self.loop
         )
         self.news = peer_news.PeerNews(self.knowledge, self.tally, self.loop)
-        self.zone_news = zone_news.ZoneNews(
+        self.zone_digests = zone_digests.ZoneDigests(
             self.knowledge, self.tally, self.loop
         )
         self.was_ready = False
@@ -157,7 +157,7 @@
         ]
         self.knowledge.start()
         self.news.start()
-        self.zone_news.start()
+        self.zone_digests.start()
         logs.event('started', vm=self.settings.vm)
         self.loop.run()
         logs.event('stopped', vm=self.settings.vm)
@@ -221,12 +221,12 @@
 
     def peer_told(self, vm: ids.VmId, news: messages.EntryNews) -> None:
         """Count what a peer has at each upstream."""
-        self.zone_news.heard_directly(news.availability_zone)
+        self.zone_digests.heard_directly(news.availability_zone)
         self.tally.take(('vm', vm), news)
 
     def zone_told(self, vm: ids.VmId, news: messages.ZoneNews) -> None:
         """Count what another zone has at each upstream."""
-        self.zone_news.take(vm, news)
+        self.zone_digests.take(vm, news)
 
     def settings_changed(self, settings: entry_settings.EntrySettings) -> None:
         """Put the rules of changed settings in force."""
--- a/eelgrassknot/forwarding/peer_tally.py
+++ b/eelgrassknot/forwarding/peer_tally.py
@@ -10,7 +10,7 @@
 from eelgrassknot.policy import commitments
 from eelgrassknot.policy import plain
 
-__all__ = ['PeerTally', 'Teller']
+__all__ = ['PeerTally', 'Teller', 'engine_entries']
 
 CALLS_LIVE_MS = 1_500.0
 """Plain calls that were told longer ago are over; ms. Three times the
--- a/eelgrassknot/forwarding/zone_news.py
+++ b/eelgrassknot/forwarding/zone_digests.py
@@ -14,7 +14,7 @@
 from eelgrassknot.forwarding import peer_tally
 from eelgrassknot import ids
 
-__all__ = ['ZoneNews']
+__all__ = ['ZoneDigests']
 
 TELL_MS = 200.0
 """How often zones of the same region are told; ms. A prompt takes about as
@@ -27,8 +27,8 @@
 its total as well; ms."""
 
 
-class ZoneNews:
-    """The digests of zones at one VM.
+class ZoneDigests:
+    """Digests of zones, told by this VM if it is a gateway, and taken in.
 
     Args:
         knowledge: Tables and peers.
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -11,7 +11,7 @@
 from eelgrassknot.forwarding import peer_news
 from eelgrassknot.forwarding import peer_roster
 from eelgrassknot.forwarding import peer_tally
-from eelgrassknot.forwarding import zone_news
+from eelgrassknot.forwarding import zone_digests
 from eelgrassknot.policy import commitments
 from eelgrassknot.policy import health
 from eelgrassknot.policy import plain
@@ -76,12 +76,14 @@
         )
         self.tally = peer_tally.PeerTally(self.desk, pool, loop)
         self.news = peer_news.PeerNews(knowledge, self.tally, loop)
-        self.zone_news = zone_news.ZoneNews(knowledge, self.tally, loop)
+        self.zone_digests = zone_digests.ZoneDigests(
+            knowledge, self.tally, loop
+        )
 
     def start(self):
         """Begin to tell."""
         self.news.start()
-        self.zone_news.start()
+        self.zone_digests.start()
         self.plan()
 
     def plan(self):
@@ -126,10 +128,10 @@
         self.roster.heard(vm, self.world.loop.now_ms())
         match message:
             case messages.EntryNews():
-                self.zone_news.heard_directly(message.availability_zone)
+                self.zone_digests.heard_directly(message.availability_zone)
                 self.tally.take(('vm', vm), message)
             case messages.ZoneNews():
-                self.zone_news.take(vm, message)
+                self.zone_digests.take(vm, message)
 
 
 class PeerWorld:
