--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -5,6 +5,7 @@
 links that can fail, and injects faults in series and overlapping.
 """
 
+import itertools
 import random
 import signal
 import threading
@@ -49,6 +50,7 @@
         self.proxy = proxy_loop.ProxyLoop()
         threading.Thread(target=self.proxy.run, daemon=True).start()
         self.servers = {}
+        self.numbers = itertools.count()
         for number in range(3):
             self.start_server('desk')
             self.start_server('writer')
@@ -64,16 +66,16 @@
 
     def start_server(self, service):
         """Start a server behind a link that can fail."""
-        name = f'{service}-{len(self.servers)}'
+        name = f'{service}-{next(self.numbers)}'
         server = users_platform.Upstream(self.platform, name, service, 0)
         self.servers[name] = server
         server.tell('ready', self.open_link(name, server.address))
 
     def open_link(self, name, target):
         """Return the address of a new link through the proxy."""
-        order = proxy_loop.LinkOrder(name, target)
+        order = proxy_loop.LinkOrder(f'{name}/', target)
         opened = self.proxy.call(lambda: self.proxy.open_links([order]))
-        return opened[name]
+        return opened[f'{name}/']
 
     def start_entry(self, vm):
         """Start an entry VM, each time behind a new link to the store."""
@@ -182,7 +184,8 @@
 
     def set_link(self, name, **fault):
         """Set faults of a link."""
-        order = proxy_loop.FaultOrder([name], **fault)
+        # Names are matched by their parts; the slash ends each.
+        order = proxy_loop.FaultOrder([f'{name}/'], **fault)
         self.proxy.call(lambda: self.proxy.set_faults(order))
 
     def store_away(self):
@@ -242,7 +245,9 @@
         self.store_back()
         self.platform.lost_answers = 0
         for name in self.proxy.links:
-            self.set_link(name, black_hole='none', reset=True, delay_ms=0.0)
+            self.set_link(
+                name.rstrip('/'), black_hole='none', reset=True, delay_ms=0.0
+            )
 
     # Callers
 
