--- a/eelgrassknot/forwarding/knowledge.py
+++ b/eelgrassknot/forwarding/knowledge.py
@@ -44,7 +44,7 @@
 STALE_RANKS = 6
 """VMs beyond this rank wait no longer than it; the margin that they leave
 is half of the least bound on revoked keys."""
-SETTLE_MS = 1_500.0
+SETTLE_MS = 1_000.0
 """Time from the start until a VM watches what it has read, unless peers do
 already; ms. They are found within it."""
 STEP_MS = 250.0
@@ -158,7 +158,7 @@
             if table.mirror.mark is not None
         )
 
-    def newest(self) -> tuple[tuple[str, int], ...]:
+    def newest(self) -> tuple[tuple[str, float], ...]:
         """Return what peers are to be told of at once.
 
         A VM that watches a table tells each confirmation of it; others
@@ -167,7 +167,7 @@
         return tuple(
             (
                 name,
-                table.mirror.mark.version
+                table.mirror.mark.store_ms
                 if table.watch.wanted
                 else table.mirror.mark.changed,
             )
