Log the requests that a draining VM accepts

The logs did not show whether such a request came on a new connection or on one from before SIGTERM, nor how long it might have taken.

Each request accepted while draining is now logged with its time limit, the age of its connection and its number on that connection.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -134,10 +134,16 @@
     Args:
         server: Server that handles the requests.
         stream: The accepted socket.
+
+    Attributes:
+        opened_ms: When the connection was accepted.
+        request_count: Number of complete requests received so far.
     """
 
     def __init__(self, server: Server, stream: socket.socket) -> None:
         self.server = server
+        self.opened_ms = server.loop.now_ms()
+        self.request_count = 0
         self.limits = server.limits
         self.parser = h11.Connection(
             h11.SERVER,
@@ -277,6 +283,7 @@
             has_body=bool(names & {b'content-length', b'transfer-encoding'}),
         )
         self.body = bytearray()
+        self.request_count += 1
         self.exchange = Exchange(self, request)
         self._dispatch(self.exchange)
 
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -158,11 +158,26 @@
             started_ms=started_ms,
             deadline_ms=started_ms + limit_ms,
         )
+        if self.draining:
+            self._log_late_request(work)
         if route.kind is model.RouteKind.STREAMING:
             stream_driver.StreamDriver(self.context, work).start()
         else:
             call_driver.CallDriver(self.context, work).start()
 
+    def _log_late_request(self, work: works.Work) -> None:
+        """Log a request that is accepted while this VM is draining."""
+        connection = work.exchange.connection
+        now_ms = self.loop.now_ms()
+        logs.event(
+            'accepted_while_draining',
+            request=work.request,
+            route=work.route.name,
+            limit_ms=round(work.deadline_ms - now_ms, 1),
+            connection_age_ms=round(now_ms - connection.opened_ms, 1),
+            connection_requests=connection.request_count,
+        )
+
     def _find_route(
         self, exchange: caller_connection.Exchange
     ) -> model.Route | None:
