Reproduce the request that is accepted late in a drain and reset

Two scenarios fail on the present code: a stream sent on a new connection 1.5 s after SIGTERM, whose time limit lies beyond the grace period, is reset without an answer; one that follows on a busy connection is accepted as well. A third, of a call that fits into the grace period, passes and has to stay so. The stand-in's upstreams can leave a request without an answer.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -110,7 +110,8 @@
 
     Attributes:
         faults: Faults of the next requests, in order: ``shed``, ``cut``,
-            ``vanish`` (the connection closes before the answer),
+            ``vanish`` (the connection closes before the answer), ``hang``
+            (the request runs and is never answered),
             ``unframed``, ``extra`` (a second answer follows) or
             ``forged`` (the answer lacks the server's stamp).
         seen: Headers of the received requests.
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -10,6 +10,7 @@
 
 EVENT_INTERVAL_S = 0.02
 STREAM_EVENTS = 40
+HANG_S = 30.0
 
 
 class UpstreamHandler(users_http.Handler):
@@ -39,6 +40,10 @@
             self.answer(421, {'Instance-Id': upstream.name}, b'')
         elif fault == 'shed':
             self.answer(503, {'Not-Executed': '1'}, b'')
+        elif fault == 'hang':
+            upstream.platform.record_run(request, upstream.name)
+            upstream.broken.wait(HANG_S)
+            self.close_connection = True
         elif upstream.service == 'writer':
             self.stream(request)
         else:
--- /dev/null
+++ b/tests/steps/forwarding_drain.py
@@ -0,0 +1,143 @@
+"""Steps for a VM that is draining."""
+
+import itertools
+import json
+import signal
+import time
+
+import behave
+
+from tests import entry_process
+
+_numbers = itertools.count(1)
+
+
+@behave.given('an entry VM with a grace period of {seconds:d} s')
+def entry_with_grace_period(context, seconds):
+    context.entry = entry_process.EntryProcess(
+        context.platform.address, grace_s=seconds
+    )
+    context.add_cleanup(context.entry.stop)
+    context.entry.wait_ready()
+
+
+def _caller(context):
+    caller = entry_process.Caller(context.entry.ports['callers'])
+    context.add_cleanup(caller.stream.close)
+    return caller
+
+
+def _send(context, caller, path, limit_ms=None):
+    """Send a request; return its ID."""
+    request = f'drain-{next(_numbers)}'
+    headers = {
+        'Request-Id': request,
+        'Credential': 'key-one',
+        'Token-Counts': '1000,160',
+    }
+    if limit_ms is not None:
+        headers['Request-Deadline'] = str(limit_ms)
+    caller.send('POST', path, headers, b'{}')
+    return request
+
+
+@behave.given('a stream that its engine never answers')
+def hung_stream(context):
+    for engine in context.engines:
+        engine.faults.append('hang')
+    context.hung_caller = _caller(context)
+    context.hung_request = _send(context, context.hung_caller, '/write/x')
+    entry_process.wait_until(
+        lambda: context.platform.runs[context.hung_request],
+        5.0,
+        'the stream runs',
+    )
+    for engine in context.engines:
+        engine.faults.clear()
+
+
+@behave.given('engines that answer no further stream')
+def hung_engines(context):
+    for engine in context.engines:
+        engine.faults.append('hang')
+
+
+@behave.given('a connection on which a stream is being answered')
+def busy_connection(context):
+    context.caller = _caller(context)
+    context.first_request = _send(context, context.caller, '/write/x')
+    context.caller.wait_events(5)
+
+
+@behave.when('SIGTERM is sent and {seconds:f} s pass')
+def terminate_and_wait(context, seconds):
+    context.entry.process.send_signal(signal.SIGTERM)
+    time.sleep(seconds)
+
+
+@behave.when(
+    'a stream with a time limit of {limit:d} ms is sent on a new connection'
+)
+def stream_on_new_connection(context, limit):
+    context.caller = _caller(context)
+    context.request = _send(context, context.caller, '/write/x', limit)
+    context.answer = context.caller.read()
+
+
+@behave.when(
+    'a booking with a time limit of {limit:d} ms is sent on a new connection'
+)
+def booking_on_new_connection(context, limit):
+    context.caller = _caller(context)
+    context.request = _send(context, context.caller, '/book/x', limit)
+    context.answer = context.caller.read()
+
+
+@behave.when(
+    'SIGTERM is sent and a stream with a time limit of {limit:d} ms follows'
+)
+def terminate_and_send(context, limit):
+    context.entry.process.send_signal(signal.SIGTERM)
+    entry_process.wait_until(
+        lambda: 'event=draining' in context.entry.log(), 5.0, 'draining'
+    )
+    context.request = _send(context, context.caller, '/write/x', limit)
+
+
+@behave.then('the first stream is whole')
+def first_stream_whole(context):
+    answer = context.caller.read()
+    assert answer.status == 200, (answer.status, context.entry.log())
+    assert answer.is_whole, context.entry.log()
+    context.answer = context.caller.read()
+
+
+@behave.then('it is refused with 503, Retry-After and the outcome not_run')
+@behave.then(
+    'the second is refused with 503, Retry-After and the outcome not_run'
+)
+def refused_not_run(context):
+    answer = context.answer
+    assert answer.status == 503, (answer.status, context.entry.log())
+    assert float(answer.headers['retry-after']) > 0, answer.headers
+    assert json.loads(answer.body)['error']['outcome'] == 'not_run'
+    assert context.platform.runs[context.request] == 0
+
+
+@behave.then('it has not run and its connection is closed')
+def not_run_and_closed(context):
+    assert context.platform.runs[context.request] == 0
+    _assert_closed(context)
+
+
+@behave.then('it is answered 200 and its connection is closed')
+def answered_and_closed(context):
+    answer = context.answer
+    assert answer.status == 200, (answer.status, context.entry.log())
+    assert context.platform.runs[context.request] == 1
+    _assert_closed(context)
+
+
+def _assert_closed(context):
+    assert context.answer.headers['connection'] == 'close'
+    assert context.caller.read().status == 0
