Refuse requests that may outlast the grace period of a draining VM

Cause: only the readiness probe told the load balancer that a VM was draining. The VM accepted every request until its process ended, on new connections, which the balancer opens while fewer than half of a zone's VMs are ready, and on connections that were busy when idle ones were closed. Nothing compared the time that a request might take with the time that the process had left. Class of fault: work is accepted beyond the lifetime of the one who does it.

Change: a draining VM accepts a request only if its deadline (the least of the route's timeout and the caller's own limit) lies before the end of the grace period. It holds for every request, whatever its connection, so no accepted request can outlast the process.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -105,7 +105,6 @@
             self.replicated_state, self.peer_load, self.loop
         )
         self.was_ready = False
-        self.drain_until_ms: float | None = None
         self.listeners: list[connections.Listener] = []
 
     @property
@@ -188,10 +187,9 @@
             return
         now_ms = self.loop.now_ms()
         logs.event('draining', in_hand=self.forwarder.active_requests)
-        self.forwarder.draining = True
         self.load_publisher.leaving = True
         grace_ms = self.settings.rules.grace_s * clocks.MS_PER_SECOND
-        self.drain_until_ms = now_ms + grace_ms - GRACE_RESERVE_MS
+        self.forwarder.drain_until_ms = now_ms + grace_ms - GRACE_RESERVE_MS
         self.loop.call_later(
             min(DRAIN_ACCEPT_MS, grace_ms / 2), self._drain_step
         )
@@ -199,7 +197,8 @@
     def _drain_step(self) -> None:
         self.forwarder.close_idle()
         in_hand = self.forwarder.active_requests
-        if in_hand == 0 or self.loop.now_ms() >= self.drain_until_ms:
+        is_over = self.loop.now_ms() >= self.forwarder.drain_until_ms
+        if in_hand == 0 or is_over:
             logs.event('drained', in_hand=in_hand)
             self.forwarder.abort_active('grace_over')
             self.loop.stop()
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -36,7 +36,8 @@
 
     Attributes:
         limits: Limits on callers' requests.
-        draining: Whether this VM is shutting down.
+        drain_until_ms: Time by which every request must have ended because
+            this VM is shutting down, or None if it is not.
         connections: All open connections of callers.
         state: The deployment's state in force, or None before the first.
     """
@@ -52,11 +53,16 @@
         self.authenticator = authenticator
         self.generator = generator
         self.limits = caller_connection.DEFAULT_LIMITS
-        self.draining = False
+        self.drain_until_ms: float | None = None
         self.connections: set[caller_connection.CallerConnection] = set()
         self.state: model.DeploymentState | None = None
         self.routes = routing.RouteTable(())
 
+    @property
+    def draining(self) -> bool:
+        """Whether this VM is shutting down."""
+        return self.drain_until_ms is not None
+
     def apply_state(self, state: model.DeploymentState) -> None:
         """Apply a state if it is newer than the one in force."""
         if self.state is not None and state.version <= self.state.version:
@@ -159,6 +165,9 @@
             deadline_ms=started_ms + limit_ms,
         )
         if self.draining:
+            if work.deadline_ms > self.drain_until_ms:
+                self._refuse(exchange, headers, 503, 'draining')
+                return
             self._log_late_request(work)
         if route.kind is model.RouteKind.STREAMING:
             stream_driver.StreamDriver(self.context, work).start()
--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -29,6 +29,10 @@
     ),
     'no_answer': 'the upstream closed the connection without an answer',
     'event_missing': 'the upstream skipped an event of the stream',
+    'draining': (
+        'the VM was told to stop and the request could have outlasted its '
+        'grace period; another VM serves its retry'
+    ),
     'grace_over': (
         'the VM was told to stop and its grace period ended before the '
         'request did; see draining'
