Answer the requests that are unanswered when the grace period ends

Cause: the end of the grace period was known to the daemon only, which aborted all connections when it came; the requests' own deadlines did not know of it.

Change: SIGTERM brings the deadline of every request in progress forward to the end of the grace period. It then ends as any request does at its deadline: 503 if no byte was sent to an upstream, 504 with an unknown outcome if one was, a reset if events were forwarded. Log lines still say grace_over. The process exits 0.3 s later, which leaves time to send these answers.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -1,6 +1,7 @@
 """Daemon of an entry VM that forwards requests on a platform."""
 
 import functools
+import math
 import os
 import random
 import signal
@@ -50,6 +51,9 @@
 sends no new ones after two readiness probes, one per second."""
 DRAIN_STEP_MS = 100.0
 GRACE_RESERVE_MS = 400.0
+"""How long before the end of the grace period every request must have
+ended; ms."""
+EXIT_RESERVE_MS = 100.0
 """How long before the end of the grace period the process exits; ms."""
 
 
@@ -105,6 +109,7 @@
             self.replicated_state, self.peer_load, self.loop
         )
         self.was_ready = False
+        self.exit_ms = math.inf
         self.listeners: list[connections.Listener] = []
 
     @property
@@ -189,7 +194,8 @@
         logs.event('draining', in_hand=self.forwarder.active_requests)
         self.load_publisher.leaving = True
         grace_ms = self.settings.rules.grace_s * clocks.MS_PER_SECOND
-        self.forwarder.drain_until_ms = now_ms + grace_ms - GRACE_RESERVE_MS
+        self.forwarder.start_drain(now_ms + grace_ms - GRACE_RESERVE_MS)
+        self.exit_ms = now_ms + grace_ms - EXIT_RESERVE_MS
         self.loop.call_later(
             min(DRAIN_ACCEPT_MS, grace_ms / 2), self._drain_step
         )
@@ -197,8 +203,7 @@
     def _drain_step(self) -> None:
         self.forwarder.close_idle()
         in_hand = self.forwarder.active_requests
-        is_over = self.loop.now_ms() >= self.forwarder.drain_until_ms
-        if in_hand == 0 or is_over:
+        if in_hand == 0 or self.loop.now_ms() >= self.exit_ms:
             logs.event('drained', in_hand=in_hand)
             self.forwarder.abort_active('grace_over')
             self.loop.stop()
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -68,6 +68,7 @@
     def start(self) -> None:
         """Place the call."""
         self.work.exchange.on_abort = self._finish
+        self.work.exchange.on_limit = self.limit_deadline
         self.context.budget(self.work.service.name).earn()
         self._place(None)
         self.schedule_timeout()
@@ -306,6 +307,7 @@
             self.attempt.cancel()
         if reason == 'deadline':
             self._eject_if_unresponsive()
+        reason = self.final_reason(reason)
         self._finish_waiting(responded=False)
         self.context.plain_pool.release(self.work.request)
         total_ms = self.now_ms() - self.work.started_ms
--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -68,6 +68,8 @@
 
     Attributes:
         on_abort: Called once with the reason if the exchange ends early.
+        on_limit: Called with an earlier time by which the exchange must
+            end.
         is_over: Whether the response is complete or the caller has
             disconnected.
         started: Whether the head of the response has been sent.
@@ -79,6 +81,7 @@
         self.connection = connection
         self.request = request
         self.on_abort: collections.abc.Callable[[str], None] | None = None
+        self.on_limit: collections.abc.Callable[[float], None] | None = None
         self.is_over = False
         self.started = False
 
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -98,6 +98,18 @@
         for connection in list(self.connections):
             connection.close_idle()
 
+    def start_drain(self, drain_until_ms: float) -> None:
+        """Accept only requests that end in time, and limit the active ones.
+
+        Args:
+            drain_until_ms: Time by which every request must have ended.
+        """
+        self.drain_until_ms = drain_until_ms
+        for connection in list(self.connections):
+            exchange = connection.exchange
+            if exchange is not None and exchange.on_limit is not None:
+                exchange.on_limit(drain_until_ms)
+
     def abort_active(self, reason: str) -> None:
         """Abort the requests in progress with a connection reset."""
         for connection in list(self.connections):
--- a/eelgrassknot/forwarding/machine_driver.py
+++ b/eelgrassknot/forwarding/machine_driver.py
@@ -9,7 +9,13 @@
 
 
 class StateMachine(typing.Protocol):
-    """A state machine that depends on time."""
+    """A state machine that depends on time.
+
+    Attributes:
+        deadline_ms: Time by which its request must end.
+    """
+
+    deadline_ms: float
 
     def wake_ms(self) -> float:
         """Return the time at which the next tick is due."""
@@ -22,6 +28,10 @@
         context: Shared dependencies of all drivers.
         work: The request.
         machine: The state machine.
+
+    Attributes:
+        is_limited: Whether the deadline is the end of this VM's grace
+            period.
     """
 
     def __init__(
@@ -31,6 +41,7 @@
         self.work = work
         self.machine = machine
         self.timer: loops.Timer | None = None
+        self.is_limited = False
 
     def now_ms(self) -> float:
         """Return the current time in milliseconds."""
@@ -54,6 +65,20 @@
             self.timer.cancel()
             self.timer = None
 
+    def limit_deadline(self, deadline_ms: float) -> None:
+        """Bring the deadline forward because this VM is shutting down."""
+        if deadline_ms < self.machine.deadline_ms:
+            self.is_limited = True
+            self.work.deadline_ms = deadline_ms
+            self.machine.deadline_ms = deadline_ms
+            self.schedule_timeout()
+
+    def final_reason(self, reason: str) -> str:
+        """Return the reason to log for the end of the request."""
+        if reason == 'deadline' and self.is_limited:
+            return 'grace_over'
+        return reason
+
     def _on_timeout(self) -> None:
         self.timer = None
         self.tick()
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -122,6 +122,7 @@
     def start(self) -> None:
         """Place the stream."""
         self.work.exchange.on_abort = self._finish
+        self.work.exchange.on_limit = self.limit_deadline
         self.context.budget(self.work.service.name).earn()
         self.context.scheduler.streams.add(self)
         self._place(frozenset())
@@ -392,6 +393,7 @@
         self._finish(action.reason)
 
     def _finish(self, reason: str) -> None:
+        reason = self.final_reason(reason)
         self.cancel_timeout()
         for attempt in self.attempts.values():
             if attempt.upstream_attempt is not None:
--- a/tests/forwarding/drain.feature
+++ b/tests/forwarding/drain.feature
@@ -20,6 +20,12 @@
     And a booking with a time limit of 1000 ms is sent on a new connection
     Then it is answered 200 and its connection is closed
 
+  # Guards against a reset in place of a final answer.
+  Scenario: a request without an answer gets one before a draining VM exits
+    When SIGTERM is sent and 0.1 s pass
+    Then the stream that its engine never answers gets 504 and unknown
+    And the VM exits with code 0 within its grace period
+
   # Guards against a request that follows, on a connection that was busy at
   # SIGTERM, a response without Connection: close.
   Scenario: a draining VM refuses a late request on a busy connection
--- a/tests/steps/forwarding_drain.py
+++ b/tests/steps/forwarding_drain.py
@@ -9,6 +9,7 @@
 
 from tests import entry_process
 
+GRACE_TIMEOUT_S = 5.0
 _numbers = itertools.count(1)
 
 
@@ -138,6 +139,19 @@
     _assert_closed(context)
 
 
+@behave.then('the stream that its engine never answers gets 504 and unknown')
+def hung_stream_answered(context):
+    answer = context.hung_caller.read()
+    assert answer.status == 504, (answer.status, context.entry.log())
+    assert json.loads(answer.body)['error']['outcome'] == 'unknown'
+
+
+@behave.then('the VM exits with code 0 within its grace period')
+def exits_within_grace_period(context):
+    assert context.entry.process.wait(GRACE_TIMEOUT_S) == 0
+    assert 'event=stopped' in context.entry.log()
+
+
 def _assert_closed(context):
     assert context.answer.headers['connection'] == 'close'
     assert context.caller.read().status == 0
