Send the rest of a response before a draining VM exits

What callers saw: the end of a large answer was missing if the caller read slowly while the VM was shutting down.

Cause: a request counted as done when its response had been buffered. The daemon exited as soon as no request was in progress, and a connection that was closing was no longer known to the forwarder, so the buffered bytes were lost with the process.

Change: a connection counts as in progress until its buffered bytes are sent, also while it is closing; the end of the grace period still bounds it. A request that arrives on a connection that is closing is not read, because its response could not be sent.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -170,9 +170,16 @@
         """Whether no request is being read or answered."""
         return self.exchange is None and self.head is None
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of a response has yet to be sent."""
+        return bool(self.transport.send_buffer) and not self.transport.closed
+
     def received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
-        if self.rejected:
+        # A request that comes while the connection is closing is not read;
+        # its response could not be sent.
+        if self.rejected or not self.transport.is_open:
             return
         self.parser.receive_data(data)
         if self.exchange is None:
@@ -183,6 +190,10 @@
             self.abort()
             self.ended(OSError(errno.ENOBUFS, 'too many pipelined bytes'))
 
+    def flushed(self) -> None:
+        """Handle the end of a connection whose responses have been sent."""
+        self.server.connection_closed(self)
+
     def ended(self, error: OSError | None) -> None:
         """Handle a connection that the caller closed or that broke."""
         self.transport.abort() if error else self.transport.close()
@@ -231,11 +242,12 @@
     def _close(self) -> None:
         self._stop_timer()
         self.transport.close()
-        self.server.connection_closed(self)
+        if self.transport.closed:
+            self.server.connection_closed(self)
 
     def _read_events(self) -> None:
         try:
-            while self.exchange is None and not self.transport.closed:
+            while self.exchange is None and self.transport.is_open:
                 event = self.parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
--- a/eelgrassknot/forwarding/connection.py
+++ b/eelgrassknot/forwarding/connection.py
@@ -37,6 +37,9 @@
     def received(self, data: bytes) -> None:
         """Called with received bytes."""
 
+    def flushed(self) -> None:
+        """Called when a closing connection has sent its buffered bytes."""
+
     def ended(self, error: OSError | None) -> None:
         """Called when the peer closed (``error`` is None) or on an error."""
 
@@ -97,6 +100,11 @@
         connection._update_interest()
         return connection
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is neither closed nor being closed."""
+        return not self.closed and not self.closing
+
     def send(self, data: bytes) -> None:
         """Send bytes, or buffer them until the peer reads."""
         if self.closed or not data:
@@ -160,6 +168,7 @@
             return
         if self.closing and not self.send_buffer:
             self._close_socket()
+            self.handler.flushed()
             return
         self._update_interest()
 
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -90,8 +90,11 @@
 
     @property
     def active_requests(self) -> int:
-        """Number of requests in progress."""
-        return sum(not each.is_idle for each in self.connections)
+        """Number of requests in progress or not yet answered in full."""
+        return sum(
+            not each.is_idle or each.has_unsent_bytes
+            for each in self.connections
+        )
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -111,7 +111,8 @@
     Attributes:
         faults: Faults of the next requests, in order: ``shed``, ``cut``,
             ``vanish`` (the connection closes before the answer), ``hang``
-            (the request runs and is never answered),
+            (the request runs and is never answered), ``large`` (the
+            answer exceeds the buffers of a socket),
             ``unframed``, ``extra`` (a second answer follows) or
             ``forged`` (the answer lacks the server's stamp).
         seen: Headers of the received requests.
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -10,6 +10,7 @@
 
 EVENT_INTERVAL_S = 0.02
 STREAM_EVENTS = 40
+LARGE_BYTES = 6_000_000
 HANG_S = 30.0
 
 
@@ -53,6 +54,8 @@
     def call(self, request: str, fault: str, body: bytes) -> None:
         headers = {'Request-Id': request, 'Server-Stamp': f's-{request}'}
         complete = b'answer to ' + request.encode() + b' ' + body
+        if fault == 'large':
+            complete += b'.' * LARGE_BYTES
         if fault == 'vanish':
             self.close_connection = True
         elif fault == 'cut':
--- a/tests/entry_process.py
+++ b/tests/entry_process.py
@@ -23,6 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
+CONNECT_TIMEOUT_S = 5.0
 ANSWER_TIMEOUT_S = 10.0
 LISTENERS = ('callers', 'readiness', 'peers', 'metrics')
 
@@ -110,8 +111,14 @@
 class Caller:
     """A caller's connection to one port of an entry VM."""
 
-    def __init__(self, port):
-        self.stream = socket.create_connection(('127.0.0.1', port), 5)
+    def __init__(self, port, window_bytes=None):
+        self.stream = socket.socket()
+        if window_bytes is not None:
+            self.stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes
+            )
+        self.stream.settimeout(CONNECT_TIMEOUT_S)
+        self.stream.connect(('127.0.0.1', port))
         self.stream.settimeout(ANSWER_TIMEOUT_S)
         self.data = b''
 
--- a/tests/forwarding/drain.feature
+++ b/tests/forwarding/drain.feature
@@ -4,11 +4,11 @@
   Background:
     Given the platform's stand-in with two servers of each service
     And an entry VM with a grace period of 5 s
-    And a stream that its engine never answers
 
   # Guards against a request that is accepted late in a drain and reset at
   # the end of the grace period.
   Scenario: a draining VM refuses a request that may outlast its grace period
+    Given a stream that its engine never answers
     And engines that answer no further stream
     When SIGTERM is sent and 1.5 s pass
     And a stream with a time limit of 5000 ms is sent on a new connection
@@ -16,20 +16,29 @@
     And it has not run and its connection is closed
 
   Scenario: a draining VM serves a call that fits into its grace period
+    Given a stream that its engine never answers
     When SIGTERM is sent and 1.5 s pass
     And a booking with a time limit of 1000 ms is sent on a new connection
     Then it is answered 200 and its connection is closed
 
   # Guards against a reset in place of a final answer.
   Scenario: a request without an answer gets one before a draining VM exits
+    Given a stream that its engine never answers
     When SIGTERM is sent and 0.1 s pass
     Then the stream that its engine never answers gets 504 and unknown
     And the VM exits with code 0 within its grace period
 
+  # Guards against an exit that drops the unsent rest of a response.
+  Scenario: a draining VM sends a large answer to a slow caller in full
+    Given a caller with a small window that does not read its large answer
+    When SIGTERM is sent and 3.5 s pass
+    Then the caller gets the whole answer
+
   # Guards against a request that follows, on a connection that was busy at
   # SIGTERM, a response without Connection: close.
   Scenario: a draining VM refuses a late request on a busy connection
-    Given a connection on which a stream is being answered
+    Given a stream that its engine never answers
+    And a connection on which a stream is being answered
     When SIGTERM is sent and a stream with a time limit of 5000 ms follows
     Then the first stream is whole
     And the second is refused with 503, Retry-After and the outcome not_run
--- a/tests/steps/forwarding_drain.py
+++ b/tests/steps/forwarding_drain.py
@@ -9,6 +9,7 @@
 
 from tests import entry_process
 
+SMALL_WINDOW_BYTES = 8_192
 GRACE_TIMEOUT_S = 5.0
 _numbers = itertools.count(1)
 
@@ -152,6 +153,34 @@
     assert 'event=stopped' in context.entry.log()
 
 
+@behave.given(
+    'a caller with a small window that does not read its large answer'
+)
+def slow_caller(context):
+    for desk in context.desks:
+        desk.faults.append('large')
+    context.caller = entry_process.Caller(
+        context.entry.ports['callers'], SMALL_WINDOW_BYTES
+    )
+    context.add_cleanup(context.caller.stream.close)
+    context.request = _send(context, context.caller, '/book/x')
+    entry_process.wait_until(
+        lambda: (
+            f'event=call_ended request={context.request}'
+            in context.entry.log()
+        ),
+        5.0,
+        'the answer is buffered',
+    )
+
+
+@behave.then('the caller gets the whole answer')
+def whole_answer(context):
+    answer = context.caller.read()
+    assert answer.status == 200, (answer.status, context.entry.log())
+    assert answer.is_whole, (len(answer.body), context.entry.log())
+
+
 def _assert_closed(context):
     assert context.answer.headers['connection'] == 'close'
     assert context.caller.read().status == 0
