Forwarding: a stream that ends inside an event has been broken off

What callers saw: an engine that answered with neither a length nor chunks and broke off inside an event ended the caller's stream as complete. The caller got the partial event as well, and the events after it never came.

Cause: at the end of the response the driver forwarded the bytes of the unfinished event and completed the stream. Without a length or chunks, the end of the connection is all that the parser sees, so it reports a complete body.

Change: a stream that ends inside an event counts as a broken attempt. It continues from a copy or is aborted, and the partial event is not forwarded. Blank lines after the last event are no event and are forwarded as before.

Checked as well, right before and after: a stream without a length that ends between events is complete; one that is reset is resumed or aborted; a plain answer without a length that is reset gets 502. The caller always gets our own framing, because the framing headers of an upstream are not forwarded.

--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -16,7 +16,7 @@
     """Buffers bytes and returns complete events.
 
     Attributes:
-        pending: Bytes of an incomplete event.
+        pending: Bytes after the last complete event.
 
     Example:
         >>> splitter = EventSplitter()
@@ -40,6 +40,11 @@
         self.pending = self.pending[start:]
         return events
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the last event is incomplete; blank lines are no event."""
+        return bool(self.pending.strip(b'\r\n'))
+
 
 def event_index(event: bytes) -> int | None:
     """Return the ID of an event if it is a number, else None.
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -75,6 +75,11 @@
         if self.buffered_body is not None:
             self.driver.handle_unsuccessful_response(self)
             return
+        if self.splitter.is_inside_event:
+            self.driver.handle_broken_attempt(
+                self, upstream_connection.Fault.BROKEN, True
+            )
+            return
         if self.splitter.pending:
             self.driver.event_received(self, None, self.splitter.pending)
         self.driver.record_success(self)
--- /dev/null
+++ b/standins/users_faults.py
@@ -0,0 +1,85 @@
+"""Faulty responses of the servers of the users' platform's stand-in."""
+
+import os
+import socket
+import struct
+import time
+
+from standins import users_http
+
+__all__ = ['FAULTS', 'respond']
+
+EVENTS_BEFORE_FAULT = 5
+EVENT_INTERVAL_S = 0.02
+READ_TIME_S = 0.1
+"""Time for the peer to read what was sent before a reset; s."""
+
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+def respond(handler: users_http.Handler, request: str, fault: str) -> None:
+    """Send a faulty response.
+
+    Args:
+        handler: Handler of the request.
+        request: ID of the request.
+        fault: One of ``FAULTS``.
+    """
+    handler.close_connection = True
+    FAULTS[fault](handler, request)
+
+
+def _send_head(handler: users_http.Handler, request: str) -> None:
+    handler.send_response_only(200)
+    handler.send_header('Request-Id', request)
+    handler.send_header('Server-Stamp', f's-{request}')
+    handler.end_headers()
+
+
+def _send_events(
+    handler: users_http.Handler, request: str, last_index: int
+) -> None:
+    """Send the head and events of a stream without a length or chunks."""
+    _send_head(handler, request)
+    start = int(handler.headers.get('Last-Event-Id', 0))
+    for index in range(start + 1, last_index + 1):
+        time.sleep(EVENT_INTERVAL_S)
+        event = f'id: {index}\ndata: {request} {index}\n\n'
+        handler.wfile.write(event.encode())
+
+
+def _unframed_stream(handler: users_http.Handler, request: str) -> None:
+    _send_events(handler, request, 40)
+
+
+def _cut_event(handler: users_http.Handler, request: str) -> None:
+    _send_events(handler, request, EVENTS_BEFORE_FAULT)
+    handler.wfile.write(b'id: 6\ndata: partial')
+
+
+def _reset_stream(handler: users_http.Handler, request: str) -> None:
+    _send_events(handler, request, EVENTS_BEFORE_FAULT)
+    _reset(handler)
+
+
+def _reset_call(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request)
+    handler.wfile.write(b'answer to ' + request.encode())
+    _reset(handler)
+
+
+def _reset(handler: users_http.Handler) -> None:
+    time.sleep(READ_TIME_S)
+    handler.connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+    )
+    # The server would shut the socket down before it closes it.
+    os.close(handler.connection.detach())
+
+
+FAULTS = {
+    'cut_event': _cut_event,
+    'reset_call': _reset_call,
+    'reset_stream': _reset_stream,
+    'unframed_stream': _unframed_stream,
+}
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -30,6 +30,7 @@
             monotonic clock.
         answers_to_lose: Number of next calls that are executed without
             an answer.
+        keeps_copies: Whether engines keep copies of the memory of runs.
         oldest_change: Version before which the change feed is discarded.
     """
 
@@ -45,6 +46,7 @@
             collections.defaultdict(list)
         )
         self.answers_to_lose = 0
+        self.keeps_copies = True
         self.oldest_change = 0
         self.upstreams: dict[str, 'Upstream'] = {}
         self.copies: dict[tuple[str, str], str] = {}
@@ -111,8 +113,9 @@
     Attributes:
         faults: Faults of the next requests, in order: ``shed``, ``cut``,
             ``vanish`` (the connection closes before the answer),
-            ``unframed``, ``extra`` (a second answer follows) or
-            ``forged`` (the answer lacks the server's stamp).
+            ``unframed``, ``extra`` (a second answer follows),
+            ``forged`` (the answer lacks the server's stamp) or one of
+            ``users_faults.FAULTS``.
         seen: Headers of the received requests.
         connections: Number of accepted connections.
     """
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from standins import users_faults
 from standins import users_http
 
 __all__ = ['UpstreamHandler']
@@ -40,7 +41,7 @@
         elif fault == 'shed':
             self.answer(503, {'Not-Executed': '1'}, b'')
         elif upstream.service == 'writer':
-            self.stream(request)
+            self.stream(request, fault)
         else:
             upstream.platform.record_run(request, upstream.name)
             self.call(request, fault, body)
@@ -48,7 +49,9 @@
     def call(self, request: str, fault: str, body: bytes) -> None:
         headers = {'Request-Id': request, 'Server-Stamp': f's-{request}'}
         complete = b'answer to ' + request.encode() + b' ' + body
-        if fault == 'vanish':
+        if fault in users_faults.FAULTS:
+            users_faults.respond(self, request, fault)
+        elif fault == 'vanish':
             self.close_connection = True
         elif fault == 'cut':
             self.send_response_only(200)
@@ -75,7 +78,7 @@
                     0.05, self.answer, (200, headers, complete)
                 ).start()
 
-    def stream(self, request: str) -> None:
+    def stream(self, request: str, fault: str) -> None:
         upstream = self.server.owner
         source = self.headers['Kv-From']
         start = int(self.headers.get('Last-Event-Id', 0))
@@ -87,9 +90,12 @@
         else:
             upstream.platform.record_run(request, upstream.name)
         copy_to = self.headers['Kv-Backup']
-        if copy_to is not None:
+        if copy_to is not None and upstream.platform.keeps_copies:
             key = (copy_to, f'{copy_to}/{request}')
             upstream.platform.copies[key] = request
+        if fault:
+            users_faults.respond(self, request, fault)
+            return
         self.send_response_only(200)
         self.send_header('Request-Id', request)
         self.send_header('Server-Stamp', f's-{request}')
--- a/tests/forwarding/knowledge.feature
+++ b/tests/forwarding/knowledge.feature
@@ -81,3 +81,16 @@
 
   Scenario: events are split regardless of chunk boundaries
     Then 200 random chunkings of a stream give the same events
+
+  # Guards against a stream that ends inside an event but looks complete.
+  Scenario Outline: an incomplete event is told from blank lines
+    Then a stream that ends with <end> is <state>
+
+    Examples:
+      | end              | state           |
+      | data: x\n\n      | between events  |
+      | data: x\n\n\n    | between events  |
+      | data: x\r\n\r\n  | between events  |
+      | data: x\n        | inside an event |
+      | data: x\n\nid: 2 | inside an event |
+      | data: x\r\n\r    | inside an event |
--- a/tests/forwarding/whole_path.feature
+++ b/tests/forwarding/whole_path.feature
@@ -41,9 +41,10 @@
     Then it is answered 502 and has run once
 
     Examples:
-      | fault  |
-      | cut    |
-      | forged |
+      | fault      |
+      | cut        |
+      | forged     |
+      | reset_call |
 
   Scenario: a lookup with a truncated response is retried
     Given the next response of one server is cut
@@ -59,6 +60,37 @@
     When a stream is read and its engine crashes after 20 events
     Then all 40 events come once and in order and it has run once
 
+  Scenario: a stream without a length is complete when it ends between events
+    Given the next response of each engine is unframed_stream
+    When a stream is read to its end
+    Then all 40 events come once and in order and it has run once
+    And it was sent to one engine
+
+  # Guards against a stream whose engine broke off that looks complete.
+  Scenario Outline: a stream without a length that breaks off is resumed
+    Given the next response of each engine is <fault>
+    When a stream is read to its end
+    Then all 40 events come once and in order and it has run once
+    And no part of an unfinished event came
+
+    Examples:
+      | fault        |
+      | cut_event    |
+      | reset_stream |
+
+  # Guards against a stream whose engine broke off that looks complete.
+  Scenario Outline: a stream without a length that cannot be resumed is aborted
+    Given the next response of each engine is <fault>
+    And engines keep no copies
+    When a stream is read to its end
+    Then the stream is incomplete after 5 events
+    And no part of an unfinished event came
+
+    Examples:
+      | fault        |
+      | cut_event    |
+      | reset_stream |
+
   Scenario: a stream resumes at another engine when its engine drains
     When a stream is read and its engine says after 20 events that it leaves
     Then all 40 events come once and in order and it has run once
--- a/tests/steps/forwarding_knowledge.py
+++ b/tests/steps/forwarding_knowledge.py
@@ -349,3 +349,10 @@
             data = data[size:]
         assert found == events, found
         assert [sse.event_index(e) for e in found] == list(range(1, 10))
+
+
+@behave.then('a stream that ends with {end} is {state}')
+def stream_ends(context, end, state):
+    splitter = sse.EventSplitter()
+    splitter.feed(end.encode().decode('unicode_escape').encode())
+    assert splitter.is_inside_event == (state == 'inside an event'), end
--- a/tests/steps/forwarding_whole_path.py
+++ b/tests/steps/forwarding_whole_path.py
@@ -183,6 +183,17 @@
         desk.faults = [fault]
 
 
+@behave.given('the next response of each engine is {fault}')
+def next_engine_fault(context, fault):
+    for engine in context.engines:
+        engine.faults = [fault]
+
+
+@behave.given('engines keep no copies')
+def no_copies(context):
+    context.platform.keeps_copies = False
+
+
 @behave.given('the next response of one server is cut')
 def one_cut(context):
     context.desks[0].faults = ['cut']
@@ -198,11 +209,25 @@
     _check_booking(context, status)
 
 
-def _read_stream(context, count, act):
+def _send_stream(context):
     caller = _caller(context)
     headers = _headers(**{'Token-Counts': '1000,160'})
     context.request = headers['Request-Id']
     caller.send('POST', '/write/x', headers, b'{}')
+    return caller
+
+
+def _event_ids(answer):
+    return [int(n) for n in re.findall(rb'id: (\d+)', answer.body)]
+
+
+@behave.when('a stream is read to its end')
+def read_stream(context):
+    context.answer = _send_stream(context).read()
+
+
+def _read_stream(context, count, act):
+    caller = _send_stream(context)
     caller.wait_events(count)
     engine = next(
         engine
@@ -244,13 +269,31 @@
 def all_events(context):
     assert context.answer.status == 200
     assert context.answer.is_whole, context.entry.log()
-    found = [int(n) for n in re.findall(rb'id: (\d+)', context.answer.body)]
+    found = _event_ids(context.answer)
     assert found == list(range(1, 41)), found
     stamp = context.answer.headers['server-stamp']
     assert stamp == f's-{context.request}'
     assert context.platform.runs[context.request] == 1
 
 
+@behave.then('it was sent to one engine')
+def sent_to_one(context):
+    assert sum(len(engine.seen) for engine in context.engines) == 1
+
+
+@behave.then('no part of an unfinished event came')
+def no_partial_event(context):
+    assert b'partial' not in context.answer.body, context.answer.body
+
+
+@behave.then('the stream is incomplete after {count:d} events')
+def stream_incomplete(context, count):
+    assert context.answer.status == 200
+    assert not context.answer.is_whole, context.entry.log()
+    found = _event_ids(context.answer)
+    assert found == list(range(1, count + 1)), found
+
+
 @behave.when(
     'a stream is read and the caller disconnects after {count:d} events'
 )
