Forwarding: responses without end are cut off at 1 MiB

What callers saw: a server that sent bytes without end, none of them a response, kept its caller waiting until the deadline: 504 after 5 s for a booking, no resumption of a stream that had a copy to continue from. The VM kept all bytes meanwhile.

Cause: only the head of a response was bounded. No limit applied to the body of an unsigned response to a call, to the body of a failure or unsigned response to a stream, to one event of a stream, to the response to a KV transfer, and to what precedes the response: interim responses and responses to other requests, which are skipped.

Change: MAX_BUFFERED_BYTES, so far the limit above which a signed response is streamed, is now the limit for each of these. An attempt over a limit is malformed: its connection is dropped and the usual rules for retries apply. The splitter searches new bytes only. Bytes that arrive after the end of an attempt close their connection instead of going to its parser; this last change is not covered by a scenario.

--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -25,8 +25,6 @@
 """Maximum number of upstreams tried for one call, including those that
 refused it."""
 MISDIRECTED_REQUEST = 421
-MAX_BUFFERED_BYTES = 1_048_576
-"""Larger responses are streamed to the caller, which rules out a retry."""
 _NO_RETRYABLE_STATUSES: frozenset[int] = frozenset()
 
 
@@ -89,13 +87,20 @@
     def response_data(
         self, attempt: upstream_connection.Attempt, data: bytes
     ) -> None:
-        """Buffer a part of the body, or forward it when streaming."""
+        """Buffer a part of the body, or forward it when streaming.
+
+        A large response is streamed, which rules out a retry.
+        """
         if self.is_streaming:
             self.work.exchange.send(data)
             return
         self.body += data
-        if len(self.body) > MAX_BUFFERED_BYTES and self._is_signed():
+        if len(self.body) <= upstream_connection.MAX_BUFFERED_BYTES:
+            return
+        if self._is_signed():
             self._start_streaming()
+        else:
+            attempt.reject('an unsigned response is too large')
 
     def response_completed(self, attempt: upstream_connection.Attempt) -> None:
         """Handle a complete response."""
--- a/eelgrassknot/forwarding/kv_transfer.py
+++ b/eelgrassknot/forwarding/kv_transfer.py
@@ -44,7 +44,7 @@
         self.plan = plan
         self.on_done = on_done
         self.status = 0
-        self.body = b''
+        self.body = bytearray()
         self.is_over = False
         head, body = context.dialect.encode_kv_transfer(
             plan.source.address,
@@ -87,11 +87,15 @@
     ) -> None:
         """Buffer a part of the body."""
         self.body += data
+        if len(self.body) > upstream_connection.MAX_BUFFERED_BYTES:
+            attempt.reject('the response to a transfer is too large')
 
     def response_completed(self, attempt: upstream_connection.Attempt) -> None:
         """Decode the complete response."""
         self._finish(
-            self.context.dialect.decode_kv_transfer(self.status, self.body)
+            self.context.dialect.decode_kv_transfer(
+                self.status, bytes(self.body)
+            )
         )
 
     def attempt_failed(
--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -9,6 +9,7 @@
 __all__ = ['EventSplitter', 'event_index']
 
 _END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+_MAX_END_BYTES = 4
 _ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?:\r|\n)')
 
 
@@ -27,17 +28,19 @@
     """
 
     def __init__(self) -> None:
-        self.pending = b''
+        self.pending = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes and return the events completed by them, in order."""
+        # The end of an event may have begun in the pending bytes.
+        searched = max(0, len(self.pending) - (_MAX_END_BYTES - 1))
         self.pending += data
         events = []
         start = 0
-        for match in _END.finditer(self.pending):
-            events.append(self.pending[start : match.end()])
+        for match in _END.finditer(self.pending, searched):
+            events.append(bytes(self.pending[start : match.end()]))
             start = match.end()
-        self.pending = self.pending[start:]
+        del self.pending[:start]
         return events
 
     @property
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -65,10 +65,14 @@
         """Parse or buffer a part of the body."""
         if self.buffered_body is not None:
             self.buffered_body += data
-            return
-        for event in self.splitter.feed(data):
-            index = sse.event_index(event)
-            self.driver.event_received(self, index, event)
+            buffered = len(self.buffered_body)
+        else:
+            for event in self.splitter.feed(data):
+                index = sse.event_index(event)
+                self.driver.event_received(self, index, event)
+            buffered = len(self.splitter.pending)
+        if buffered > upstream_connection.MAX_BUFFERED_BYTES:
+            attempt.reject('a failure or an event is too large')
 
     def response_completed(self, attempt: upstream_connection.Attempt) -> None:
         """Handle the end of the response."""
@@ -81,7 +85,9 @@
             )
             return
         if self.splitter.pending:
-            self.driver.event_received(self, None, self.splitter.pending)
+            self.driver.event_received(
+                self, None, bytes(self.splitter.pending)
+            )
         self.driver.record_success(self)
         self.driver.dispatch(messages.AnswerCompleted(self.number))
 
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -12,7 +12,13 @@
 from eelgrassknot import ids
 from eelgrassknot import logs
 
-__all__ = ['Attempt', 'AttemptListener', 'Fault', 'ConnectionPool']
+__all__ = [
+    'Attempt',
+    'AttemptListener',
+    'ConnectionPool',
+    'Fault',
+    'MAX_BUFFERED_BYTES',
+]
 
 CONNECT_TIMEOUT_MS = 600.0
 """Timeout for a new connection; ms. Ten round trips between regions."""
@@ -24,6 +30,12 @@
 """Idle time after which a connection may have been dropped unnoticed; ms."""
 MAX_IDLE_PER_UPSTREAM = 16
 MAX_HEAD_BYTES = 65_536
+MAX_BUFFERED_BYTES = 1_048_576
+"""Maximum bytes of a response, or of one event of a stream, that are kept
+until it is complete, and of what precedes a response on its connection."""
+MAX_PRECEDING_RESPONSES = 16
+"""Maximum number of responses that precede the one to a request: interim
+ones, and late ones to earlier requests on the connection."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -75,7 +87,7 @@
             self.attempt.connection_ready()
 
     def received(self, data: bytes) -> None:
-        if self.attempt is not None:
+        if self.attempt is not None and not self.attempt.is_over:
             self.attempt.received(data)
         else:
             # These bytes belong to no request.
@@ -171,6 +183,10 @@
     Attributes:
         sent_at_ms: When the first byte was sent, or None.
         is_over: Whether the attempt has ended; no callbacks follow.
+        response_started: Whether the head of the response has come.
+        preceding_bytes: Bytes received before that head.
+        preceding_responses: Number of interim responses and of responses
+            to other requests before that head.
         is_new_connection: Whether the attempt opened a connection.
     """
 
@@ -197,6 +213,9 @@
         self.head: h11.Request | None = None
         self.is_over = False
         self.is_skipping = False
+        self.response_started = False
+        self.preceding_bytes = 0
+        self.preceding_responses = 0
         self.keep_ms = IDLE_MS
         self.sent_at_ms: float | None = None
         self.timer: loops.Timer | None = None
@@ -235,6 +254,17 @@
         """Parse bytes from the upstream."""
         self.parser.receive_data(data)
         self._read_events()
+        if not self.response_started:
+            self.preceding_bytes += len(data)
+            if self.preceding_bytes > MAX_BUFFERED_BYTES:
+                self.reject('too many bytes precede the response')
+
+    def reject(self, reason: str) -> None:
+        """Fail the attempt, because the upstream's bytes are no response."""
+        if self.is_over:
+            return
+        logs.warning('answer_malformed', request=self.request, why=reason)
+        self._fail(Fault.MALFORMED)
 
     def connection_ended(self, error: OSError | None) -> None:
         """Handle the end of the connection."""
@@ -272,13 +302,12 @@
                 # truncated, not malformed.
                 self._fail(Fault.BROKEN)
                 return
-            logs.warning(
-                'answer_malformed', request=self.request, why=str(error)
-            )
-            self._fail(Fault.MALFORMED)
+            self.reject(str(error))
 
     def _handle_event(self, event: h11.Event) -> None:
         match event:
+            case h11.InformationalResponse():
+                self._count_preceding_response()
             case h11.Response():
                 self._handle_head(event)
             case h11.Data():
@@ -306,12 +335,19 @@
             logs.warning(
                 'answer_skipped', request=self.request, belongs_to=echoed
             )
+            self._count_preceding_response()
             return
+        self.response_started = True
         self.keep_ms = _keep_alive_ms(headers)
         self.listener.response_started(
             self, head.status_code, list(head.headers.raw_items())
         )
 
+    def _count_preceding_response(self) -> None:
+        self.preceding_responses += 1
+        if self.preceding_responses > MAX_PRECEDING_RESPONSES:
+            self.reject('too many responses precede the response')
+
     def _await_next_response(self) -> None:
         """Read on after a skipped response to another request."""
         rest, _closed = self.parser.trailing_data
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -14,6 +14,10 @@
 READ_TIME_S = 0.1
 """Time for the peer to read what was sent before a reset; s."""
 
+ENDLESS_BLOCK_BYTES = 65_536
+ENDLESS_PAUSE_S = 0.001
+OTHER_REQUEST = 'another-request'
+
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -29,10 +33,16 @@
     FAULTS[fault](handler, request)
 
 
-def _send_head(handler: users_http.Handler, request: str) -> None:
-    handler.send_response_only(200)
+def _send_head(
+    handler: users_http.Handler,
+    request: str,
+    status: int = 200,
+    is_signed: bool = True,
+) -> None:
+    handler.send_response_only(status)
     handler.send_header('Request-Id', request)
-    handler.send_header('Server-Stamp', f's-{request}')
+    if is_signed:
+        handler.send_header('Server-Stamp', f's-{request}')
     handler.end_headers()
 
 
@@ -77,8 +87,68 @@
     os.close(handler.connection.detach())
 
 
+def _send_without_end(
+    handler: users_http.Handler, block: bytes = b'x' * ENDLESS_BLOCK_BYTES
+) -> None:
+    """Send a block again and again until the peer closes."""
+    unended = handler.server.owner.unended
+    unended.append(handler)
+    try:
+        while True:
+            handler.wfile.write(block)
+            time.sleep(ENDLESS_PAUSE_S)
+    except OSError:
+        unended.remove(handler)
+
+
+def _endless_head(handler: users_http.Handler, request: str) -> None:
+    handler.send_response_only(200)
+    handler.send_header('Request-Id', request)
+    handler.flush_headers()
+    _send_without_end(handler, b'X: x\r\n' * (ENDLESS_BLOCK_BYTES // 6))
+
+
+def _endless_interim(handler: users_http.Handler, _: str) -> None:
+    head = b'HTTP/1.1 102 Processing\r\n\r\n'
+    _send_without_end(handler, head * (ENDLESS_BLOCK_BYTES // len(head)))
+
+
+def _endless_body(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request, is_signed=False)
+    _send_without_end(handler)
+
+
+def _endless_failure(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request, 500)
+    _send_without_end(handler)
+
+
+def _endless_other(handler: users_http.Handler, _: str) -> None:
+    _send_head(handler, OTHER_REQUEST)
+    _send_without_end(handler)
+
+
+def _endless_others(handler: users_http.Handler, _: str) -> None:
+    head = f'HTTP/1.1 200 OK\r\nRequest-Id: {OTHER_REQUEST}\r\n'
+    other = f'{head}Content-Length: 0\r\n\r\n'.encode()
+    _send_without_end(handler, other * (ENDLESS_BLOCK_BYTES // len(other)))
+
+
+def _endless_event(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request)
+    handler.wfile.write(b'data: ')
+    _send_without_end(handler)
+
+
 FAULTS = {
     'cut_event': _cut_event,
+    'endless_body': _endless_body,
+    'endless_event': _endless_event,
+    'endless_failure': _endless_failure,
+    'endless_head': _endless_head,
+    'endless_interim': _endless_interim,
+    'endless_other': _endless_other,
+    'endless_others': _endless_others,
     'reset_call': _reset_call,
     'reset_stream': _reset_stream,
     'unframed_stream': _unframed_stream,
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -117,7 +117,9 @@
             ``forged`` (the answer lacks the server's stamp) or one of
             ``users_faults.FAULTS``.
         seen: Headers of the received requests.
+        move_fault: Fault of all calls that copy the memory of a run.
         connections: Number of accepted connections.
+        unended: Endless responses that the peer has not cut off.
     """
 
     def __init__(
@@ -127,9 +129,11 @@
         self.name = name
         self.service = service
         self.faults: list[str] = []
+        self.move_fault = ''
         self.seen: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.connections = 0
+        self.unended: list[users_http.Handler] = []
         self.broken = threading.Event()
         self.server = users_http.Server(
             self, users_upstream.UpstreamHandler, port
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -113,6 +113,9 @@
 
     def move(self, call: dict) -> None:
         upstream = self.server.owner
+        if upstream.move_fault:
+            users_faults.respond(self, call['id'], upstream.move_fault)
+            return
         handle = f'h{len(upstream.platform.copies)}'
         key = (call['to'], f'{upstream.address}/{handle}')
         upstream.platform.copies[key] = call['id']
--- /dev/null
+++ b/tests/forwarding/endless.feature
@@ -0,0 +1,66 @@
+@processes
+Feature: Responses without end are cut off
+
+  Background:
+    Given the platform's stand-in with two servers of each service
+    And an entry VM that is ready
+
+  # Guards against buffering all that a server sends until the deadline.
+  Scenario Outline: a booking with a response without end fails long before its deadline
+    Given the next 4 responses of each server are <fault>
+    When 4 bookings are sent at once, and lookups after they have run
+    Then each booking is answered 502 within 2 s and has run once
+    And each lookup is answered 200 within 500 ms
+    And the servers soon see those connections closed
+    And the VM's memory has stayed under its limit
+
+    Examples:
+      | fault           |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
+      | endless_other   |
+      | endless_others  |
+
+  # Guards against buffering all that a server sends until the deadline.
+  Scenario Outline: a lookup with a response without end is retried
+    Given the next response of one server is <fault>
+    When 4 lookups are sent one by one
+    Then each lookup is answered 200 within 1000 ms
+    And the servers soon see those connections closed
+
+    Examples:
+      | fault           |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
+      | endless_other   |
+      | endless_others  |
+
+  # Guards against buffering all that an engine sends until the deadline.
+  Scenario Outline: a stream whose engine sends without end is resumed
+    Given the next response of the engines is <fault>
+    When a stream is read to its end
+    Then all 40 events come once and in order and it has run once
+    And the servers soon see those connections closed
+    And the VM's memory has stayed under its limit
+    And a booking is served
+
+    Examples:
+      | fault           |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
+      | endless_failure |
+      | endless_other   |
+      | endless_others  |
+      | endless_event   |
+
+  # Guards against buffering all that an engine sends until the timeout.
+  Scenario: a copy of a run's memory with a response without end fails
+    Given a state without maintained copies is in force
+    And the response to each copy is endless_body
+    When a stream is read and its engine says after 5 events that it leaves
+    Then all 40 events come once and in order and it has run once
+    And the log has a copy that failed
+    And the servers soon see those connections closed
--- /dev/null
+++ b/tests/steps/forwarding_endless.py
@@ -0,0 +1,140 @@
+"""Steps for responses that do not end."""
+
+import concurrent.futures
+import itertools
+import json
+import pathlib
+import re
+import time
+
+import behave
+
+from standins import users_documents
+from tests import entry_process
+
+SOON_S = 2.0
+MIN_LOOKUPS = 5
+_numbers = itertools.count(1)
+
+
+def _ask(context, method, path):
+    """Send a request; return its ID, the response and its duration in s."""
+    request = f'e{next(_numbers)}'
+    headers = {'Request-Id': request, 'Credential': 'key-one'}
+    body = b'{}' if method == 'POST' else None
+    with entry_process.Caller(context.entry.ports['callers']) as caller:
+        started_s = time.monotonic()
+        answer = caller.ask(method, path, headers, body)
+        return request, answer, time.monotonic() - started_s
+
+
+@behave.given('the next {count:d} responses of each server are {fault}')
+def next_faults(context, count, fault):
+    for desk in context.desks:
+        desk.faults = [fault] * count
+
+
+@behave.given('the next response of one server is endless_{fault}')
+def next_fault_of_one(context, fault):
+    context.desks[0].faults = [f'endless_{fault}']
+
+
+@behave.given('the next response of the engines is {fault}')
+def next_engine_response(context, fault):
+    faults = [fault]
+    for engine in context.engines:
+        engine.faults = faults
+
+
+@behave.given('a state without maintained copies is in force')
+def without_copies(context):
+    state = users_documents.desired_state(2)
+    state['services'][1]['engine']['backups'] = False
+    context.platform.put_state(state)
+    entry_process.wait_until(
+        lambda: 'event=state_adopted version=2' in context.entry.log(),
+        SOON_S,
+        context.entry.log,
+    )
+
+
+@behave.given('the response to each copy is {fault}')
+def copy_fault(context, fault):
+    for engine in context.engines:
+        engine.move_fault = fault
+
+
+@behave.when(
+    '{count:d} bookings are sent at once, and lookups after they have run'
+)
+def book_and_look_up(context, count):
+    context.bookings = []
+    context.lookups = []
+    with concurrent.futures.ThreadPoolExecutor(count) as executor:
+        bookings = [
+            executor.submit(_ask, context, 'POST', '/book/x')
+            for _ in range(count)
+        ]
+        entry_process.wait_until(
+            lambda: context.platform.runs.total() == count,
+            SOON_S,
+            context.entry.log,
+        )
+        for desk in context.desks:
+            desk.faults = []
+        while len(context.lookups) < MIN_LOOKUPS or not all(
+            booking.done() for booking in bookings
+        ):
+            context.lookups.append(_ask(context, 'GET', '/look/x'))
+        context.bookings = [booking.result() for booking in bookings]
+
+
+@behave.when('{count:d} lookups are sent one by one')
+def look_up(context, count):
+    context.lookups = [_ask(context, 'GET', '/look/x') for _ in range(count)]
+
+
+@behave.then(
+    'each booking is answered {status:d} within {bound:d} s and has run once'
+)
+def bookings_answered(context, status, bound):
+    for request, answer, took_s in context.bookings:
+        assert answer.status == status, (answer.status, took_s)
+        assert took_s < bound, took_s
+        assert context.platform.runs[request] == 1, request
+
+
+@behave.then('each lookup is answered {status:d} within {bound:d} ms')
+def lookups_answered(context, status, bound):
+    for request, answer, took_s in context.lookups:
+        assert answer.status == status, answer.status
+        assert answer.body.startswith(f'answer to {request} '.encode())
+        assert took_s < bound / 1_000, took_s
+
+
+@behave.then('the servers soon see those connections closed')
+def connections_closed(context):
+    servers = [*context.desks, *context.engines]
+    entry_process.wait_until(
+        lambda: not any(server.unended for server in servers),
+        SOON_S,
+        context.entry.log,
+    )
+
+
+@behave.then("the VM's memory has stayed under its limit")
+def memory_bounded(context):
+    status = pathlib.Path(f'/proc/{context.entry.process.pid}/status')
+    (peak_kb,) = re.findall(r'VmHWM:\s+(\d+) kB', status.read_text())
+    settings = json.loads(context.entry.settings_path.read_text())
+    assert int(peak_kb) < settings['memory_mb'] * 1_000, f'{peak_kb} kB'
+
+
+@behave.then('the log has a copy that failed')
+def copy_failed(context):
+    line = r'event=run_copied .*handle=None'
+    entry_process.wait_until(
+        lambda: re.search(line, context.entry.log()),
+        SOON_S,
+        context.entry.log,
+    )
