Share crash reports of engines among entry VMs through the store

Callers saw one request after another cut off while a prompt part crashed every engine that began to answer it: no VM knew what the others had seen. Each VM now writes a row for each crash report and for each accused part with which it has seen a stream continue. The table is replicated like the two existing ones but is not required for readiness, and its recovery does not extend the grace of expired upstreams. Nothing reports to it yet.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -89,6 +89,7 @@
             health=upstream_health,
             plain_pool=self.plain_pool,
             scheduler=self.scheduler,
+            crash_reports=self.replicated_state.crash_reports,
             retry_ratio=settings.rules.retry_ratio,
             retry_burst=self._retry_burst,
         )
--- a/eelgrassknot/forwarding/access.py
+++ b/eelgrassknot/forwarding/access.py
@@ -63,6 +63,15 @@
             return NEVER_MS
         return store_ms - self.offset_ms
 
+    def store_ms(self, local_ms: float) -> float | None:
+        """Return the store time that maps to a local time.
+
+        None if no call has completed yet.
+        """
+        if self.offset_ms is None:
+            return None
+        return local_ms + self.offset_ms
+
 
 class KeyStatus(enum.Enum):
     """Result of the authentication of a key."""
--- /dev/null
+++ b/eelgrassknot/forwarding/crash_reports.py
@@ -0,0 +1,433 @@
+"""Reports of engine crashes, shared by all entry VMs through the store.
+
+A row for each report names the parts of the prompt that the engine was
+beginning to answer. A VM that has seen a stream with an accused part
+continue writes a row that exonerates the part.
+"""
+
+import collections.abc
+import functools
+import hashlib
+import itertools
+import random
+
+import msgspec
+
+from eelgrassknot.coordination import rendezvous
+from eelgrassknot.forwarding import access
+from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
+from eelgrassknot.forwarding import row_store
+from eelgrassknot.forwarding import row_writer
+from eelgrassknot.forwarding import table_replica
+from eelgrassknot import ids
+from eelgrassknot import logs
+from eelgrassknot.policy import crash_evidence
+
+__all__ = ['CRASHES_TABLE', 'CrashReports', 'CrashRow', 'SurvivalRow']
+
+CRASHES_TABLE = 'eelgrassknot-crashes'
+MAX_KEY_BYTES = 200
+"""Maximum length of a row's key; a limit of the platform."""
+TICK_MS = 1_000.0
+"""Mean interval at which expired reports and rows are removed; ms."""
+MAX_EXONERATION_DELAY_MS = 300.0
+"""Maximum random delay before an exonerating row is written; ms. The row
+of another VM usually arrives first."""
+SEEN_MS = crash_evidence.SURVIVAL_VALID_MS + row_writer.RETRY_PERIOD_MS
+"""How long this VM's own survivals are kept; ms. The report of a peer may
+arrive late by the time for which its write is tried again."""
+MAX_DELETES_PER_TICK = 10
+SURVIVAL_ROW_MS = crash_evidence.BLOCK_MS + crash_evidence.SURVIVAL_VALID_MS
+"""Time for which an exonerating row counts; ms. A survival may precede the
+report that it answers."""
+NEVER_MS = float('-inf')
+_PRUNER_KEY = 'crash-rows'
+
+
+class CrashRow(msgspec.Struct, frozen=True, tag_field='kind', tag='crash'):
+    """One crash report.
+
+    Attributes:
+        engine: The engine and its start.
+        parts: Parts of the request's prompt without the last.
+        store_ms: The store's clock at the report.
+    """
+
+    engine: str
+    request: ids.RequestId
+    parts: tuple[str, ...]
+    store_ms: float
+
+
+class SurvivalRow(
+    msgspec.Struct, frozen=True, tag_field='kind', tag='survival'
+):
+    """Exoneration of one accused part.
+
+    Attributes:
+        store_ms: The store's clock when a stream with the part continued.
+    """
+
+    part: str
+    store_ms: float
+
+
+class CrashReports:
+    """Crash reports of this VM and its peers, and what they block.
+
+    All methods are called on the event loop. This VM's own reports count at
+    once, also while the store is unavailable.
+
+    Args:
+        vm: This VM.
+        store: Store client, used only by the writer thread.
+        loop: The event loop.
+        generator: Random number generator.
+        store_clock: The store's clock.
+        zone_members: Returns this VM and the live peers of its zone.
+
+    Attributes:
+        on_change: Called on the loop after reports or exonerations have
+            arrived.
+        reports: Reports that count, by engine and request.
+        rows: Valid rows of the table by key, including expired ones.
+    """
+
+    def __init__(
+        self,
+        vm: ids.VmId,
+        store: row_store.RowStore,
+        loop: loops.EventLoop,
+        generator: random.Random,
+        store_clock: access.StoreClock,
+        zone_members: collections.abc.Callable[[], list[ids.VmId]],
+    ) -> None:
+        self.vm = vm
+        self.loop = loop
+        self.generator = generator
+        self.store_clock = store_clock
+        self.zone_members = zone_members
+        self.writer = row_writer.RowWriter(
+            store, loop.clock, random.Random(ids.random_id())
+        )
+        self.evidence = crash_evidence.CrashEvidence()
+        self.on_change: collections.abc.Callable[[], None] | None = None
+        self.reports: dict[
+            tuple[str, ids.RequestId], crash_evidence.CrashReport
+        ] = {}
+        self.rows: dict[str, CrashRow | SurvivalRow] = {}
+        # Last report of each accused part, and last survival of each part
+        # that this VM has seen.
+        self._accused_ms: dict[str, float] = {}
+        self._seen_ms: dict[str, float] = {}
+        # When this VM last queued a write of a key other than a report's.
+        self._queued_ms: dict[str, float] = {}
+        self._exonerating: set[str] = set()
+        self._deferred: list[collections.abc.Callable[[], None]] = []
+        self._logged: set[frozenset[str]] = set()
+        self._notifying = False
+
+    def start(self) -> None:
+        """Start the writer and the removal of expired reports."""
+        self.writer.start()
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop the writer."""
+        self.writer.stop()
+
+    # Streams of this VM
+
+    def report_crash(
+        self, engine: str, request: ids.RequestId, parts: tuple[str, ...]
+    ) -> None:
+        """Report that an engine crashed when it began to answer a request.
+
+        Args:
+            engine: The engine and its start, ``UPSTREAM@STARTED_AT_MS``.
+            request: The request.
+            parts: Parts of its prompt without the last.
+        """
+        now_ms = self.loop.now_ms()
+        report = crash_evidence.CrashReport(
+            engine, request, frozenset(parts), now_ms
+        )
+        if not self._record(report, 'local'):
+            return
+        self._when_clock_known(
+            functools.partial(self._write_report, report, parts)
+        )
+        self._changed()
+
+    def report_survival(self, parts: tuple[str, ...]) -> None:
+        """Report that a stream got its second event or completed.
+
+        Args:
+            parts: Parts of its prompt without the last.
+        """
+        now_ms = self.loop.now_ms()
+        accused = [part for part in parts if part in self._accused_ms]
+        cleared = accused and not self.evidence.suspects(now_ms).isdisjoint(
+            accused
+        )
+        self.evidence.record_survival(parts, now_ms)
+        for part in parts:
+            self._seen_ms[part] = now_ms
+        for part in accused:
+            self._exonerate(part)
+        if cleared:
+            self._changed()
+
+    def blocking(
+        self, parts: tuple[str, ...]
+    ) -> crash_evidence.Verdict | None:
+        """Return what blocks a request, or None if it may run.
+
+        Args:
+            parts: Parts of its prompt without the last.
+        """
+        if not self.reports:
+            return None
+        return self.evidence.blocking(parts, self.loop.now_ms())
+
+    # Rows of the store
+
+    def apply(self, changes: table_replica.ChangeSet) -> None:
+        """Apply changes of the table."""
+        for key in changes.removed:
+            self.rows.pop(key, None)
+        if changes.updated:
+            self._when_clock_known(
+                functools.partial(self._receive_rows, changes.updated)
+            )
+
+    def _receive_rows(
+        self, rows: collections.abc.Iterable[row_store.StoreRow]
+    ) -> None:
+        for row in rows:
+            try:
+                found = msgspec.json.decode(
+                    row.value, type=CrashRow | SurvivalRow
+                )
+            except msgspec.MsgspecError as error:
+                logs.warning('crash_row_unreadable', key=row.key, why=error)
+                continue
+            self.rows[row.key] = found
+            self._receive(found)
+        self._changed()
+
+    def _receive(self, row: CrashRow | SurvivalRow) -> None:
+        now_ms = self.loop.now_ms()
+        if self._is_expired(row, now_ms):
+            return
+        at_ms = min(now_ms, self.store_clock.local_ms(row.store_ms))
+        match row:
+            case CrashRow(engine, request, parts):
+                report = crash_evidence.CrashReport(
+                    engine, request, frozenset(parts), at_ms
+                )
+                self._record(report, 'peer')
+            case SurvivalRow(part):
+                self.evidence.record_survival([part], at_ms)
+
+    def _is_expired(self, row: CrashRow | SurvivalRow, now_ms: float) -> bool:
+        """Return whether a row no longer counts.
+
+        A row from the far future counts as expired too: the store's clock
+        has jumped, or another program wrote the row.
+        """
+        valid_ms = crash_evidence.BLOCK_MS
+        if isinstance(row, SurvivalRow):
+            valid_ms = SURVIVAL_ROW_MS
+        return abs(now_ms - self.store_clock.local_ms(row.store_ms)) > valid_ms
+
+    # Evidence
+
+    def _record(self, report: crash_evidence.CrashReport, origin: str) -> bool:
+        """Record a report; return whether it is new."""
+        key = (report.engine, report.request)
+        if key in self.reports or not report.parts:
+            return False
+        self.reports[key] = report
+        for part in report.parts:
+            self._accuse(part, report.reported_ms)
+        self.evidence.record_crash(report)
+        metrics.CRASH_REPORTS.labels(origin).inc()
+        logs.event(
+            'engine_crash_reported',
+            engine=report.engine,
+            request=report.request,
+            parts=','.join(sorted(report.parts)),
+            origin=origin,
+        )
+        for part in report.parts:
+            self._exonerate(part)
+        return True
+
+    def _accuse(self, part: str, reported_ms: float) -> None:
+        self._accused_ms[part] = max(
+            reported_ms, self._accused_ms.get(part, NEVER_MS)
+        )
+
+    def _write_report(
+        self, report: crash_evidence.CrashReport, parts: tuple[str, ...]
+    ) -> None:
+        row = CrashRow(
+            report.engine,
+            report.request,
+            parts,
+            self.store_clock.store_ms(report.reported_ms),
+        )
+        self.writer.write(
+            _row_key(f'{report.engine}/{report.request}'),
+            msgspec.json.encode(row),
+        )
+
+    def _exonerate(self, part: str) -> None:
+        """Schedule an exonerating row if this VM has reason to write one."""
+        if part not in self._exonerating and self._must_exonerate(part):
+            self._exonerating.add(part)
+            self.loop.call_later(
+                self.generator.uniform(0.0, MAX_EXONERATION_DELAY_MS),
+                functools.partial(self._write_survival, part),
+            )
+
+    def _must_exonerate(self, part: str) -> bool:
+        """Return whether only this VM's own survival clears a part."""
+        if part not in self._accused_ms:
+            return False
+        since_ms = self._accused_ms[part] - crash_evidence.SURVIVAL_VALID_MS
+        key = _survival_key(part)
+        row = self.rows.get(key)
+        if (
+            row is not None
+            and self.store_clock.local_ms(row.store_ms) >= since_ms
+        ):
+            return False
+        seen_ms = self._seen_ms.get(part, NEVER_MS)
+        return seen_ms >= since_ms and not self._is_queued(key)
+
+    def _write_survival(self, part: str) -> None:
+        self._exonerating.discard(part)
+        if not self._must_exonerate(part):
+            return
+        store_ms = self.store_clock.store_ms(self._seen_ms[part])
+        if store_ms is None:
+            return
+        key = _survival_key(part)
+        self._queued_ms[key] = self.loop.now_ms()
+        self.writer.write(
+            row_store.RowKey(CRASHES_TABLE, key),
+            msgspec.json.encode(SurvivalRow(part, store_ms)),
+        )
+
+    def _is_queued(self, key: str) -> bool:
+        """Return whether a queued write of a key may still be pending."""
+        queued_ms = self._queued_ms.get(key, NEVER_MS)
+        return self.loop.now_ms() - queued_ms <= row_writer.RETRY_PERIOD_MS
+
+    # Changes and expiry
+
+    def _when_clock_known(
+        self, callback: collections.abc.Callable[[], None]
+    ) -> None:
+        """Call back at once, or when the store's clock is known.
+
+        The tables may arrive from a peer before this VM's first call to the
+        store is answered.
+        """
+        if self.store_clock.offset_ms is None:
+            self._deferred.append(callback)
+        else:
+            callback()
+
+    def _changed(self) -> None:
+        self._update_blocked()
+        if not self._notifying:
+            self._notifying = True
+            self.loop.call_soon(self._notify)
+
+    def _notify(self) -> None:
+        self._notifying = False
+        if self.on_change is not None:
+            self.on_change()
+
+    def _update_blocked(self) -> None:
+        """Log new combinations and update the gauge."""
+        verdicts = [
+            self.blocking(tuple(report.parts))
+            for report in self.reports.values()
+        ]
+        blocked = {each.parts for each in verdicts if each is not None}
+        for parts in blocked - self._logged:
+            logs.warning('parts_blocked', parts=','.join(sorted(parts)))
+        self._logged |= blocked
+        metrics.BLOCKED_COMBINATIONS.set(len(blocked))
+
+    def _tick(self) -> None:
+        self.loop.call_later(
+            self.generator.uniform(0.5, 1.5) * TICK_MS, self._tick
+        )
+        if self.store_clock.offset_ms is not None:
+            deferred, self._deferred = self._deferred, []
+            for callback in deferred:
+                callback()
+            self._prune_rows()
+        self._expire(self.loop.now_ms())
+
+    def _expire(self, now_ms: float) -> None:
+        self.evidence.expire(now_ms)
+        self.reports = {
+            key: report
+            for key, report in self.reports.items()
+            if now_ms - report.reported_ms <= crash_evidence.BLOCK_MS
+        }
+        self._accused_ms.clear()
+        for report in self.reports.values():
+            for part in report.parts:
+                self._accuse(part, report.reported_ms)
+        self._seen_ms = {
+            part: seen_ms
+            for part, seen_ms in self._seen_ms.items()
+            if now_ms - seen_ms <= SEEN_MS
+        }
+        self._queued_ms = {
+            key: queued_ms
+            for key, queued_ms in self._queued_ms.items()
+            if self._is_queued(key)
+        }
+        if not self.reports:
+            self._logged.clear()
+        self._update_blocked()
+
+    def _prune_rows(self) -> None:
+        """Delete expired rows if this VM is the first of its zone."""
+        members = self.zone_members()
+        if rendezvous.ranked(_PRUNER_KEY, members, 1)[0] != self.vm:
+            return
+        now_ms = self.loop.now_ms()
+        expired = (
+            key
+            for key, row in self.rows.items()
+            if self._is_expired(row, now_ms) and not self._is_queued(key)
+        )
+        for key in list(itertools.islice(expired, MAX_DELETES_PER_TICK)):
+            self._queued_ms[key] = now_ms
+            self.writer.delete(row_store.RowKey(CRASHES_TABLE, key))
+
+
+def _survival_key(part: str) -> str:
+    return _bounded_key(f'survived/{part}')
+
+
+def _row_key(key: str) -> row_store.RowKey:
+    return row_store.RowKey(CRASHES_TABLE, _bounded_key(key))
+
+
+def _bounded_key(key: str) -> str:
+    """Return a key, or its hash if the store does not accept its length."""
+    encoded = key.encode()
+    if len(encoded) <= MAX_KEY_BYTES:
+        return key
+    return hashlib.blake2b(encoded, digest_size=32).hexdigest()
--- a/eelgrassknot/forwarding/metrics.py
+++ b/eelgrassknot/forwarding/metrics.py
@@ -4,7 +4,9 @@
 
 __all__ = [
     'ATTEMPT_FAULTS',
+    'BLOCKED_COMBINATIONS',
     'COPIES',
+    'CRASH_REPORTS',
     'REQUESTS_IN_PROGRESS',
     'CONNECTIONS_OPENED',
     'REFUSALS',
@@ -55,6 +57,16 @@
     'Calls to the store, by outcome',
     ['outcome'],
 )
+CRASH_REPORTS = prometheus_client.Counter(
+    'eelgrassknot_crash_reports',
+    'Streams whose engine crashed before their first event, by origin of '
+    'the report',
+    ['origin'],
+)
+BLOCKED_COMBINATIONS = prometheus_client.Gauge(
+    'eelgrassknot_blocked_combinations',
+    'Combinations of prompt parts that are blocked',
+)
 REQUESTS_IN_PROGRESS = prometheus_client.Gauge(
     'eelgrassknot_requests_in_hand', 'Requests that are being served'
 )
--- a/eelgrassknot/forwarding/replicated_state.py
+++ b/eelgrassknot/forwarding/replicated_state.py
@@ -14,6 +14,7 @@
 from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.coordination import rendezvous
 from eelgrassknot.forwarding import access
+from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import model
@@ -33,6 +34,8 @@
 responses fit into the smallest bound on revoked keys."""
 UPSTREAMS_WAIT_MS = 2_500.0
 """How long one call waits for a change of the upstreams; ms."""
+CRASHES_WAIT_MS = 5_000.0
+"""How long one call waits for a crash report; ms."""
 FETCH_DELAY_MS = 30.0
 """How long this VM's own watch may take to deliver a change that a peer
 already has; ms."""
@@ -79,13 +82,17 @@
 
 @dataclasses.dataclass
 class _ReplicatedTable:
-    """One table and the handler of its changes."""
+    """One table and the handler of its changes.
+
+    Attributes:
+        required: Whether a VM needs the table to serve requests.
+    """
 
     replica: table_replica.TableReplica
     apply: collections.abc.Callable[[table_replica.ChangeSet], None]
     watch: table_watch.TableWatch | None = None
     fetching: bool = False
-    is_watched: bool = True
+    required: bool = True
 
 
 class ReplicatedState:
@@ -102,6 +109,7 @@
         authenticator: Authenticates API keys.
         directory: Listed upstreams.
         peers: Discovery of the peers.
+        crash_reports: Crash reports of this VM and its peers.
     """
 
     def __init__(
@@ -123,6 +131,14 @@
             self._notify_leaving
         )
         self.watch_from_ms = float('-inf')
+        self.crash_reports = crash_reports.CrashReports(
+            ids.VmId(settings.vm),
+            dialect.open_store(settings.listen.store),
+            loop,
+            generator,
+            self.store_clock,
+            lambda: self.peers.zone_members(),
+        )
         self.tables = {
             dialect.config_table: _ReplicatedTable(
                 table_replica.TableReplica(), self._apply_config
@@ -130,8 +146,13 @@
             dialect.upstreams_table: _ReplicatedTable(
                 table_replica.TableReplica(), self._apply_upstreams
             ),
+            crash_reports.CRASHES_TABLE: _ReplicatedTable(
+                table_replica.TableReplica(),
+                self.crash_reports.apply,
+                required=False,
+            ),
         }
-        waits = (CONFIG_WAIT_MS, UPSTREAMS_WAIT_MS)
+        waits = (CONFIG_WAIT_MS, UPSTREAMS_WAIT_MS, CRASHES_WAIT_MS)
         for name, wait_ms in zip(self.tables, waits, strict=True):
             self.tables[name].watch = self._create_watch(name, wait_ms)
         self.peers = peer_discovery.PeerDiscovery(
@@ -146,16 +167,19 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every table has been read at least once."""
+        """Whether every required table has been read at least once."""
         return all(
-            t.replica.watermark is not None for t in self.tables.values()
+            table.replica.watermark is not None
+            for table in self.tables.values()
+            if table.required
         )
 
     def start(self) -> None:
-        """Start the watches and the discovery of peers."""
+        """Start the watches, the discovery of peers and the writer."""
         for table in self.tables.values():
             table.watch.start()
         self.peers.start()
+        self.crash_reports.start()
         self.watch_from_ms = self.loop.now_ms() + STARTUP_GRACE_MS
         self.loop.call_later(POLL_INTERVAL_MS, self._poll)
 
@@ -211,14 +235,15 @@
                 self._handle_page(event)
 
     def _handle_page(self, event: table_watch.PageReceived) -> None:
+        table = self.tables[event.table]
         if event.recovered:
             logs.event('store_regained', table=event.table)
-            self.directory.record_store_recovery(self.loop.now_ms())
+            if table.required:
+                self.directory.record_store_recovery(self.loop.now_ms())
         page = event.page
         self.store_clock.observe(
             event.sent_ms, event.received_ms, page.store_ms
         )
-        table = self.tables[event.table]
         if event.after is None:
             changes = table.replica.apply_snapshot(page, page.version)
         else:
@@ -368,6 +393,10 @@
     def _serve_fetch(
         self, _vm: ids.VmId, query: messages.RowsFetch
     ) -> messages.RowsReply:
+        if query.table not in self.tables:
+            # A table of another release.
+            mark = _encode_watermark(query.table, _EMPTY_WATERMARK)
+            return messages.RowsReply(mark, None)
         replica = self.tables[query.table].replica
         watermark, rows = replica.watermark, list(replica.rows.values())
         if watermark is None or watermark.version <= query.version:
--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -8,6 +8,7 @@
 import h11
 
 from eelgrassknot.forwarding import caller_connection
+from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import model
@@ -34,6 +35,7 @@
         health: Health of the upstreams.
         plain_pool: Selects upstreams of plain services.
         scheduler: Selects engines.
+        crash_reports: Crashes of engines and the requests that they block.
         budgets: Retry budget of each service.
         retry_ratio: Number of retries that each request adds to the
             budget.
@@ -48,6 +50,7 @@
     health: health.HealthTracker
     plain_pool: plain.PlainPool
     scheduler: 'engine_scheduler.EngineScheduler'
+    crash_reports: crash_reports.CrashReports
     retry_ratio: float
     retry_burst: collections.abc.Callable[[], float]
     budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = (
