Ignore rows of crash reports from the future

A row whose store time was 600 to 601 s ahead was ignored when it arrived but counted again a second later, so it was not pruned, and a VM that started later would have blocked its parts. Only rows more than the whole block time ahead were ignored.

A row may now be at most 30 s ahead, more than the error of the clock's offset.

--- a/eelgrassknot/forwarding/crash_reports.py
+++ b/eelgrassknot/forwarding/crash_reports.py
@@ -41,6 +41,9 @@
 SURVIVAL_ROW_MS = crash_evidence.BLOCK_MS + crash_evidence.SURVIVAL_VALID_MS
 """Time for which an exonerating row counts; ms. A survival may precede the
 report that it answers."""
+MAX_AHEAD_MS = 30_000.0
+"""Time by which a row may be ahead of the store's clock; ms. Exceeds the
+error of the clock's offset at the writer and at the reader."""
 NEVER_MS = float('-inf')
 _PRUNER_KEY = 'crash-rows'
 
@@ -234,13 +237,14 @@
     def _is_expired(self, row: CrashRow | SurvivalRow, now_ms: float) -> bool:
         """Return whether a row no longer counts.
 
-        A row from the far future counts as expired too: the store's clock
-        has jumped, or another program wrote the row.
+        Neither does a row from the future: the store's clock has jumped, or
+        another program wrote the row.
         """
         valid_ms = crash_evidence.BLOCK_MS
         if isinstance(row, SurvivalRow):
             valid_ms = SURVIVAL_ROW_MS
-        return abs(now_ms - self.store_clock.local_ms(row.store_ms)) > valid_ms
+        age_ms = now_ms - self.store_clock.local_ms(row.store_ms)
+        return not -MAX_AHEAD_MS <= age_ms <= valid_ms
 
     # Evidence
 
