Log the progress of failed attempts and the shared parts of prompts

When an engine crashes under several streams, the log did not tell the stream whose prompt crashed it from the bystanders: attempt_failed named only the fault, and nothing named the parts of the prompts.

attempt_failed of a stream now logs the status of the response, the number of complete events received in this attempt, and the time since the head and since the first event (None if there was none). stream_sent logs the parts of the prompt without the last one, which no other prompt shares.

The new scenario of whole_path.feature fails before the change (no line with the parts within 5 s) and passes after it; the other 21 scenarios of the feature passed with it.

--- a/eelgrassknot/forwarding/model.py
+++ b/eelgrassknot/forwarding/model.py
@@ -189,9 +189,16 @@
         max_output_tokens: Maximum number of generated tokens.
         output_hint: The caller's estimate of the number of generated
             tokens, or None.
+        parts: Parts of the prompt in order; the last one belongs to this
+            request or its session alone.
     """
 
     prompt_tokens: int
     max_output_tokens: int
     output_hint: int | None = None
     parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the parts that other prompts may share."""
+        return tuple(part.part for part in self.parts[:-1])
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -30,7 +30,14 @@
 
 
 class _StreamAttempt(upstream_connection.AttemptListener):
-    """Reports the response to one attempt to the driver."""
+    """Reports the response to one attempt to the driver.
+
+    Attributes:
+        status: Status of the response, or 0 before its head.
+        events: Number of complete events received.
+        head_ms: When the head was received, or None.
+        first_event_ms: When the first event was received, or None.
+    """
 
     def __init__(self, driver: 'StreamDriver', send: messages.Send) -> None:
         self.driver = driver
@@ -42,6 +49,9 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.buffered_body: bytearray | None = None
         self.upstream_attempt: upstream_connection.Attempt | None = None
+        self.events = 0
+        self.head_ms: float | None = None
+        self.first_event_ms: float | None = None
 
     def response_started(
         self,
@@ -52,6 +62,7 @@
         """Store the head and start a signed successful response."""
         self.status = status
         self.headers = headers
+        self.head_ms = self.driver.now_ms()
         is_signed = self.driver.context.dialect.is_signed(headers)
         if status in SUCCESS_STATUSES and is_signed:
             self.driver.dispatch(messages.HeadReceived(self.number, True))
@@ -67,6 +78,7 @@
             self.buffered_body += data
             return
         for event in self.splitter.feed(data):
+            self._record_event()
             index = sse.event_index(event)
             self.driver.event_received(self, index, event)
 
@@ -76,6 +88,7 @@
             self.driver.handle_unsuccessful_response(self)
             return
         if self.splitter.pending:
+            self._record_event()
             self.driver.event_received(self, None, self.splitter.pending)
         self.driver.record_success(self)
         self.driver.dispatch(messages.AnswerCompleted(self.number))
@@ -89,6 +102,11 @@
         """Handle a response that broke off."""
         self.driver.handle_broken_attempt(self, fault, bytes_left)
 
+    def _record_event(self) -> None:
+        self.events += 1
+        if self.first_event_ms is None:
+            self.first_event_ms = self.driver.now_ms()
+
 
 class StreamDriver(machine_driver.MachineDriver):
     """Drives the state machine of one stream.
@@ -96,6 +114,9 @@
     Args:
         context: Shared dependencies of all drivers.
         work: The request.
+
+    Attributes:
+        shared_parts: Parts of the prompt that other prompts may share.
     """
 
     def __init__(self, context: works.Context, work: works.Work) -> None:
@@ -118,6 +139,8 @@
         self.largest_gap_ms = 0.0
         self.last_event_ms = work.started_ms
         self.transfer: kv_transfer.KvTransfer | None = None
+        profile = work.headers.generation
+        self.shared_parts = profile.shared_parts if profile else ()
 
     def start(self) -> None:
         """Place the stream."""
@@ -283,6 +306,7 @@
             copy=attempt.copy.upstream if attempt.copy else None,
             continue_from=send.continue_from,
             after=send.last_event,
+            parts=','.join(self.shared_parts),
             since_ms=round(now_ms - self.work.started_ms, 1),
             engine_runs=sums.runs,
             engine_tokens=sums.tokens + sums.copy_tokens,
@@ -431,8 +455,15 @@
             attempt=attempt.number,
             upstream=attempt.upstream.upstream,
             fault=fault,
+            status=attempt.status,
+            events=attempt.events,
+            head_age_ms=self._age_ms(attempt.head_ms),
+            first_event_age_ms=self._age_ms(attempt.first_event_ms),
         )
 
+    def _age_ms(self, time_ms: float | None) -> float | None:
+        return None if time_ms is None else round(self.now_ms() - time_ms, 1)
+
     def tick(self) -> None:
         """Notify the stream's state machine that time has passed."""
         self.dispatch(messages.Tick())
--- a/tests/forwarding/whole_path.feature
+++ b/tests/forwarding/whole_path.feature
@@ -104,6 +104,11 @@
     And the log has a line "event=ready state_version=1" and a booking is served
     And the metrics count both
 
+  Scenario: a broken attempt is logged with its progress and the parts of its prompt
+    When a stream with the prompt aa:10,bb:20,cc:5 is read and its engine crashes after 20 events
+    Then the log states the parts aa,bb of its prompt
+    And the log states that its attempt broke after a head and at least 20 events
+
   Scenario: changed settings are applied, invalid ones are ignored
     When the settings file is corrupted and SIGHUP is sent
     Then the log has a line "event=reload_failed" and a booking is served
--- a/tests/steps/forwarding_whole_path.py
+++ b/tests/steps/forwarding_whole_path.py
@@ -198,9 +198,9 @@
     _check_booking(context, status)
 
 
-def _read_stream(context, count, act):
+def _read_stream(context, count, act, **more):
     caller = _caller(context)
-    headers = _headers(**{'Token-Counts': '1000,160'})
+    headers = _headers(**{'Token-Counts': '1000,160'}, **more)
     context.request = headers['Request-Id']
     caller.send('POST', '/write/x', headers, b'{}')
     caller.wait_events(count)
@@ -220,6 +220,17 @@
     context.answer = caller.read()
 
 
+@behave.when(
+    'a stream with the prompt {prompt} is read and its engine crashes after '
+    '{count:d} events'
+)
+def prompt_and_crash(context, prompt, count):
+    caller = _read_stream(
+        context, count, lambda e, _: e.crash(), **{'Prompt-Prefix': prompt}
+    )
+    context.answer = caller.read()
+
+
 @behave.when(
     'a stream is read and its engine says after {count:d} events that it '
     'leaves'
@@ -394,6 +405,36 @@
     )
 
 
+@behave.then('the log states the parts {parts} of its prompt')
+def log_parts(context, parts):
+    sent = rf'event=stream_sent request={context.request} .*parts={parts} '
+    entry_process.wait_until(
+        lambda: re.search(sent, context.entry.log()),
+        SOON_S,
+        context.entry.log,
+    )
+
+
+@behave.then(
+    'the log states that its attempt broke after a head and at least '
+    '{count:d} events'
+)
+def log_progress(context, count):
+    line = (
+        rf'event=attempt_failed request={context.request} attempt=1 .*'
+        r'status=200 events=(\d+) head_age_ms=([\d.]+) '
+        r'first_event_age_ms=([\d.]+)'
+    )
+    entry_process.wait_until(
+        lambda: re.search(line, context.entry.log()),
+        SOON_S,
+        context.entry.log,
+    )
+    found = re.search(line, context.entry.log())
+    assert int(found[1]) >= count, found[0]
+    assert float(found[2]) >= float(found[3]) > 0, found[0]
+
+
 @behave.then('the metrics count both')
 def metrics_count(context):
     with entry_process.Caller(context.entry.ports['metrics']) as caller:
