Forwarding: a streamed call is cut off at its deadline

What callers saw: a call whose response is over 1 MiB, and so is streamed, got neither more bytes nor an end once its deadline had passed. The connection stayed open while the server sent on.

Cause: at the deadline the driver sent an error response although the head had been sent. The parser raised, the call was not finished, and each further part of the body raised again.

Evidence: a server that sends 2 MiB and then a byte each 50 ms without end. Before the change the caller's connection was not reset within 7 s (deadline 5 s), and the log had 41 lines "event=callback_failed" with "Can't send data when our state is ERROR" by then.

Change: at the deadline a response that is being streamed is aborted.

--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -247,7 +247,10 @@
 
     def _respond(self, end: messages.EndCall) -> None:
         exchange = self.work.exchange
-        if end.answer is not None:
+        if self.is_streaming:
+            # The deadline passed before the response was complete.
+            exchange.abort()
+        elif end.answer is not None:
             exchange.respond(
                 end.answer.status,
                 self.context.dialect.response_headers(end.answer.headers),
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -16,6 +16,8 @@
 
 ENDLESS_BLOCK_BYTES = 65_536
 ENDLESS_PAUSE_S = 0.001
+SLOW_PAUSE_S = 0.05
+LARGE_BODY_BYTES = 2_097_152
 OTHER_REQUEST = 'another-request'
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -88,7 +90,9 @@
 
 
 def _send_without_end(
-    handler: users_http.Handler, block: bytes = b'x' * ENDLESS_BLOCK_BYTES
+    handler: users_http.Handler,
+    block: bytes = b'x' * ENDLESS_BLOCK_BYTES,
+    pause_s: float = ENDLESS_PAUSE_S,
 ) -> None:
     """Send a block again and again until the peer closes."""
     unended = handler.server.owner.unended
@@ -96,7 +100,7 @@
     try:
         while True:
             handler.wfile.write(block)
-            time.sleep(ENDLESS_PAUSE_S)
+            time.sleep(pause_s)
     except OSError:
         unended.remove(handler)
 
@@ -118,6 +122,12 @@
     _send_without_end(handler)
 
 
+def _endless_success(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request)
+    handler.wfile.write(b'x' * LARGE_BODY_BYTES)
+    _send_without_end(handler, b'x', SLOW_PAUSE_S)
+
+
 def _endless_failure(handler: users_http.Handler, request: str) -> None:
     _send_head(handler, request, 500)
     _send_without_end(handler)
@@ -149,6 +159,7 @@
     'endless_interim': _endless_interim,
     'endless_other': _endless_other,
     'endless_others': _endless_others,
+    'endless_success': _endless_success,
     'reset_call': _reset_call,
     'reset_stream': _reset_stream,
     'unframed_stream': _unframed_stream,
--- a/tests/forwarding/endless.feature
+++ b/tests/forwarding/endless.feature
@@ -37,6 +37,14 @@
       | endless_other   |
       | endless_others  |
 
+  # Guards against a streamed call that never ends once its deadline passes.
+  Scenario: a large response without end is cut off at the deadline
+    Given the next response of each server is endless_success
+    When a booking is sent and read for 7 s
+    Then its connection was reset after 4 to 6 s
+    And the log has a call that ended at the deadline
+    And the servers soon see those connections closed
+
   # Guards against buffering all that an engine sends until the deadline.
   Scenario Outline: a stream whose engine sends without end is resumed
     Given the next response of the engines is <fault>
--- a/tests/steps/forwarding_endless.py
+++ b/tests/steps/forwarding_endless.py
@@ -14,6 +14,7 @@
 
 SOON_S = 2.0
 MIN_LOOKUPS = 5
+READ_BYTES = 65_536
 _numbers = itertools.count(1)
 
 
@@ -89,6 +90,38 @@
         context.bookings = [booking.result() for booking in bookings]
 
 
+@behave.when('a booking is sent and read for {limit:d} s')
+def book_and_read(context, limit):
+    context.reset_after_s = None
+    headers = {'Request-Id': f'e{next(_numbers)}', 'Credential': 'key-one'}
+    with entry_process.Caller(context.entry.ports['callers']) as caller:
+        started_s = time.monotonic()
+        caller.send('POST', '/book/x', headers, b'{}')
+        while context.reset_after_s is None:
+            left_s = started_s + limit - time.monotonic()
+            if left_s <= 0:
+                return
+            caller.stream.settimeout(left_s)
+            try:
+                assert caller.stream.recv(READ_BYTES), 'the response ended'
+            except TimeoutError:
+                return
+            except ConnectionResetError:
+                context.reset_after_s = time.monotonic() - started_s
+
+
+@behave.then('its connection was reset after {least:d} to {most:d} s')
+def reset_in_time(context, least, most):
+    took_s = context.reset_after_s
+    assert took_s is not None, context.entry.log()
+    assert least < took_s < most, took_s
+
+
+@behave.then('the log has a call that ended at the deadline')
+def call_ended_at_deadline(context):
+    _wait_for_line(context, r'event=call_ended .*reason=deadline')
+
+
 @behave.when('{count:d} lookups are sent one by one')
 def look_up(context, count):
     context.lookups = [_ask(context, 'GET', '/look/x') for _ in range(count)]
@@ -132,7 +165,10 @@
 
 @behave.then('the log has a copy that failed')
 def copy_failed(context):
-    line = r'event=run_copied .*handle=None'
+    _wait_for_line(context, r'event=run_copied .*handle=None')
+
+
+def _wait_for_line(context, line):
     entry_process.wait_until(
         lambda: re.search(line, context.entry.log()),
         SOON_S,
