Stop sending prompts whose parts crash engines

Callers saw streams aborted or lost across many engines at a time: one part of a prompt crashed every engine that began to answer it, and the VMs sent the next requests with it to the next engines, including from the queue and from copies of the runs' memory.

Cause: a broken attempt said nothing about its prompt, so nothing kept later requests with the same parts from being placed.

An attempt that breaks after a signed successful head and before its second event now reports a crash of that start of the engine with the parts of the prompt that are not the request's own; one that gets its second event or completes reports a survival. Streams are checked when they start, when they are placed, before they are continued from a copy, and when reports arrive. A blocked stream of which nothing was sent gets 503, not run, with the end of the block as Retry-After; one that may have run ends as after a lost engine. A run that has produced an event goes on, without a successor.

The stand-in's crash() now also closes idle connections, as a crashed process does. A request sent on a connection that is reset then need not have been read by the engine; the VM reports it as unknown.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -93,6 +93,9 @@
             retry_ratio=settings.rules.retry_ratio,
             retry_burst=self._retry_burst,
         )
+        self.replicated_state.crash_reports.on_change = (
+            self.scheduler.end_blocked_streams
+        )
         self.forwarder = forwarders.Forwarder(
             self.context, self.replicated_state.authenticator, self.generator
         )
--- a/eelgrassknot/forwarding/engine_scheduler.py
+++ b/eelgrassknot/forwarding/engine_scheduler.py
@@ -28,6 +28,9 @@
     def upstream_leaving(self, upstream: str) -> None:
         """Handle an upstream that is leaving or has left."""
 
+    def end_if_blocked(self) -> bool:
+        """End the stream if its prompt crashes engines."""
+
 
 class EngineScheduler:
     """Engines in use and the streams waiting for one.
@@ -152,6 +155,11 @@
         for stream in list(self.streams):
             stream.upstream_leaving(upstream)
 
+    def end_blocked_streams(self) -> None:
+        """End the streams whose prompts crash engines."""
+        for stream in list(self.streams):
+            stream.end_if_blocked()
+
     def schedule_step(self) -> None:
         """Reconsider the waiting streams in the loop's next iteration."""
         if not self.is_step_scheduled:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -27,6 +27,9 @@
 UNKNOWN_PROMPT_TOKENS = 1_000
 """Prompt size assumed if the request does not state it."""
 SUCCESS_STATUSES = range(200, 300)
+SURVIVAL_EVENTS = 2
+"""Number of events after which a prompt has not crashed its engine. The
+first one may have been produced before the crash."""
 
 
 class _StreamAttempt(upstream_connection.AttemptListener):
@@ -90,6 +93,8 @@
         if self.splitter.pending:
             self._record_event()
             self.driver.event_received(self, None, self.splitter.pending)
+        if self.events < SURVIVAL_EVENTS:
+            self.driver.report_survival()
         self.driver.record_success(self)
         self.driver.dispatch(messages.AnswerCompleted(self.number))
 
@@ -100,10 +105,19 @@
         bytes_left: bool,
     ) -> None:
         """Handle a response that broke off."""
+        if self._began_answer and self.events < SURVIVAL_EVENTS:
+            self.driver.report_crash(self)
         self.driver.handle_broken_attempt(self, fault, bytes_left)
 
+    @property
+    def _began_answer(self) -> bool:
+        """Whether the head of a signed successful response was received."""
+        return self.head_ms is not None and self.buffered_body is None
+
     def _record_event(self) -> None:
         self.events += 1
+        if self.events == SURVIVAL_EVENTS:
+            self.driver.report_survival()
         if self.first_event_ms is None:
             self.first_event_ms = self.driver.now_ms()
 
@@ -147,13 +161,34 @@
         self.work.exchange.on_abort = self._finish
         self.context.budget(self.work.service.name).earn()
         self.context.scheduler.streams.add(self)
-        self._place(frozenset())
-        self.schedule_timeout()
+        if not self.end_if_blocked():
+            self._place(frozenset())
+            self.schedule_timeout()
 
     def upstream_leaving(self, upstream: str) -> None:
         """Handle an upstream that is leaving or has left."""
         self.dispatch(messages.UpstreamLeaving(upstream))
 
+    def end_if_blocked(self) -> bool:
+        """End the stream if its prompt crashes engines.
+
+        A run that has already produced an event goes on.
+
+        Returns:
+            Whether the prompt is blocked and must not be sent.
+        """
+        verdict = self.context.crash_reports.blocking(self.shared_parts)
+        if verdict is None:
+            return False
+        logs.event(
+            'stream_blocked',
+            request=self.work.request,
+            parts=','.join(sorted(verdict.parts)),
+        )
+        retry_after_ms = max(0.0, verdict.until_ms - self.now_ms())
+        self.dispatch(messages.Blocked(retry_after_ms))
+        return True
+
     # Events of the attempts
 
     def dispatch(self, event: messages.Event) -> None:
@@ -200,6 +235,21 @@
         self._log_attempt(attempt, fault.value)
         self.dispatch(messages.AttemptBroken(attempt.number, bytes_left))
 
+    def report_crash(self, attempt: _StreamAttempt) -> None:
+        """Report that an engine broke off at the start of its answer."""
+        if self.shared_parts:
+            upstream = attempt.upstream
+            self.context.crash_reports.report_crash(
+                f'{upstream.upstream}@{upstream.started_at_ms}',
+                self.work.request,
+                self.shared_parts,
+            )
+
+    def report_survival(self) -> None:
+        """Report that the prompt has not crashed an engine."""
+        if self.shared_parts:
+            self.context.crash_reports.report_survival(self.shared_parts)
+
     def record_success(self, attempt: _StreamAttempt) -> None:
         """Record a complete response in the upstream's health."""
         self.context.health.record_success(attempt.upstream.upstream)
@@ -269,6 +319,8 @@
                 )
             )
             return
+        if self.end_if_blocked():
+            return
         upstream = self.context.scheduler.upstreams.get(
             outcome.engine.upstream
         )
@@ -278,6 +330,9 @@
         self.dispatch(messages.Placed(upstream))
 
     def _send(self, send: messages.Send) -> None:
+        # A continued run is not placed, so it has not been checked yet.
+        if send.continue_from is not None and self.end_if_blocked():
+            return
         if send.is_repeat:
             self.context.budget(self.work.service.name).spend()
         attempt = _StreamAttempt(self, send)
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -138,6 +138,8 @@
                 return self._attempt_broken(attempt, may_have_sent, now_ms)
             case messages.NotRun(attempt):
                 return self._not_run(attempt, now_ms)
+            case messages.Blocked(retry_after_ms):
+                return self._blocked(retry_after_ms)
             case messages.UpstreamLeaving(upstream):
                 return self._upstream_leaving(upstream, now_ms)
             case messages.CopyEnded():
@@ -369,6 +371,21 @@
         self.run = None
         return [messages.Place(frozenset(self.failed))]
 
+    def _blocked(self, retry_after_ms: float) -> list[messages.Action]:
+        run = self.run
+        if (
+            run is None
+            or run.first_event_ms is None
+            or run.upstream.upstream in self.failed
+        ):
+            return self._give_up('crashes_engines', retry_after_ms)
+        if self.successor is None:
+            return []
+        # The successor might crash its engine; the run goes on.
+        cancel = messages.Cancel(self.successor.attempt)
+        self.successor = None
+        return [cancel]
+
     # Moving away from an upstream
 
     def _upstream_leaving(
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -9,6 +9,7 @@
     'Action',
     'AbortAnswer',
     'AttemptBroken',
+    'Blocked',
     'Cancel',
     'CopyPlaced',
     'AnswerCompleted',
@@ -127,6 +128,13 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Blocked:
+    """The prompt has crashed several engines and must not be sent."""
+
+    retry_after_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
     """An upstream is leaving or has left the deployment."""
@@ -161,6 +169,7 @@
     | AnswerCompleted
     | AttemptBroken
     | NotRun
+    | Blocked
     | UpstreamLeaving
     | CopyEnded
     | Tick
--- a/standins/users_http.py
+++ b/standins/users_http.py
@@ -1,6 +1,8 @@
 """Threaded HTTP servers of the users' platform's stand-in."""
 
+import contextlib
 import http.server
+import socket
 import threading
 
 __all__ = ['Handler', 'Server']
@@ -14,6 +16,8 @@
     def __init__(self, owner: object, handler: type, port: int = 0) -> None:
         super().__init__(('127.0.0.1', port), handler)
         self.owner = owner
+        self.lock = threading.Lock()
+        self.connections: set[socket.socket] = set()
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     @property
@@ -28,6 +32,15 @@
         self.shutdown()
         self.server_close()
 
+    def close_connections(self) -> None:
+        """Close all open connections."""
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                # The peer may have closed it already.
+                connection.shutdown(socket.SHUT_RDWR)
+
 
 class Handler(http.server.BaseHTTPRequestHandler):
     """Request handler that reads bodies and sends complete answers."""
@@ -37,6 +50,16 @@
     # delay the body until the headers are acknowledged, by up to 40 ms.
     disable_nagle_algorithm = True
 
+    def setup(self) -> None:
+        super().setup()
+        with self.server.lock:
+            self.server.connections.add(self.connection)
+
+    def finish(self) -> None:
+        with self.server.lock:
+            self.server.connections.discard(self.connection)
+        super().finish()
+
     def log_message(self, *_: object) -> None:
         """Disable request logging."""
 
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -15,6 +15,8 @@
 
 __all__ = ['Platform', 'Upstream']
 
+RESTART_DELAY_S = 0.3
+
 Rows = dict[tuple[str, str], tuple[bytes, int]]
 
 
@@ -31,6 +33,8 @@
         answers_to_lose: Number of next calls that are executed without
             an answer.
         oldest_change: Version before which the change feed is discarded.
+        crashes: Number of engines crashed by a prompt.
+        is_stopped: Whether no more servers are started.
     """
 
     def __init__(self) -> None:
@@ -48,6 +52,8 @@
         self.oldest_change = 0
         self.upstreams: dict[str, 'Upstream'] = {}
         self.copies: dict[tuple[str, str], str] = {}
+        self.crashes = 0
+        self.is_stopped = False
         self.server = users_http.Server(self, users_store.StoreHandler)
 
     @property
@@ -81,7 +87,10 @@
 
     def stop(self) -> None:
         """Stop the store and all servers."""
-        for upstream in self.upstreams.values():
+        with self.lock:
+            self.is_stopped = True
+            upstreams = list(self.upstreams.values())
+        for upstream in upstreams:
             upstream.server.stop()
         self.server.stop()
 
@@ -115,6 +124,9 @@
             ``forged`` (the answer lacks the server's stamp).
         seen: Headers of the received requests.
         connections: Number of accepted connections.
+        deadly_parts: Parts of prompts that crash the server when it
+            begins to answer.
+        successor: Server that replaced this one after a crash, or None.
     """
 
     def __init__(
@@ -127,6 +139,8 @@
         self.seen: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.connections = 0
+        self.deadly_parts: set[str] = set()
+        self.successor: Upstream | None = None
         self.broken = threading.Event()
         self.server = users_http.Server(
             self, users_upstream.UpstreamHandler, port
@@ -152,6 +166,39 @@
         self.platform.put('servers', self.name, json.dumps(entry).encode())
 
     def crash(self) -> None:
-        """Abort all streams and stop accepting connections."""
+        """Close all connections and stop accepting new ones."""
         self.broken.set()
+        self.server.close_connections()
         self.server.stop()
+        self.server.close_connections()
+
+    def is_deadly(self, prompt: str | None) -> bool:
+        """Return whether a prompt crashes the server."""
+        parts = {entry.split(':')[0] for entry in (prompt or '').split(',')}
+        return not parts.isdisjoint(self.deadly_parts)
+
+    def crash_and_restart(self) -> None:
+        """Crash, and start anew with another name and address."""
+        with self.platform.lock:
+            if self.broken.is_set():
+                return
+            self.broken.set()
+            self.platform.crashes += 1
+        self.crash()
+        timer = threading.Timer(RESTART_DELAY_S, self._restart)
+        timer.daemon = True
+        timer.start()
+
+    def _restart(self) -> None:
+        self.platform.put('servers', self.name, None)
+        successor = Upstream(
+            self.platform, f'{self.name}r', self.service, port=0
+        )
+        successor.deadly_parts = self.deadly_parts
+        self.successor = successor
+        with self.platform.lock:
+            if self.platform.is_stopped:
+                successor.server.stop()
+                return
+            self.platform.upstreams[successor.address] = successor
+        successor.publish_state('ready')
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -10,6 +10,8 @@
 
 EVENT_INTERVAL_S = 0.02
 STREAM_EVENTS = 40
+CRASH_DELAY_S = 0.1
+"""Time between the head of an answer and a crash caused by its prompt."""
 
 
 class UpstreamHandler(users_http.Handler):
@@ -35,7 +37,9 @@
         upstream.bodies.append(body)
         request = self.headers['Request-Id']
         fault = upstream.faults.pop(0) if upstream.faults else ''
-        if self.headers['Expect-Instance'] != upstream.name:
+        if upstream.broken.is_set():
+            self.close_connection = True
+        elif self.headers['Expect-Instance'] != upstream.name:
             self.answer(421, {'Instance-Id': upstream.name}, b'')
         elif fault == 'shed':
             self.answer(503, {'Not-Executed': '1'}, b'')
@@ -96,6 +100,11 @@
         self.send_header('Content-Type', 'text/event-stream')
         self.send_header('Transfer-Encoding', 'chunked')
         self.end_headers()
+        if upstream.is_deadly(self.headers['Prompt-Prefix']):
+            time.sleep(CRASH_DELAY_S)
+            upstream.crash_and_restart()
+            self.close_connection = True
+            return
         for index in range(start + 1, STREAM_EVENTS + 1):
             if upstream.broken.is_set():
                 self.close_connection = True
--- a/tests/requests/forwarded_stream.feature
+++ b/tests/requests/forwarded_stream.feature
@@ -93,6 +93,61 @@
       | a timeout is never due at a time that was already handled |
       | an attempt that is replaced by another is cancelled       |
 
+  # Guards against sending a prompt that crashes engines to further ones.
+  Scenario: a waiting stream with a blocked prompt is refused as not run
+    Given a stream that has not been placed
+    When its prompt is blocked for 5000 ms
+    Then it is refused as not run with a Retry-After of 5000 ms
+
+  # Guards against reporting a request as not run that an engine has.
+  Scenario: a sent stream with a blocked prompt is cancelled
+    Given a stream that runs on e1 without a copy
+    When its prompt is blocked for 5000 ms
+    Then the first attempt is cancelled
+    And the outcome is reported as unknown
+
+  # Guards against waiting at an engine that is about to crash.
+  Scenario: a stream with a head and no event is aborted when it is blocked
+    Given a stream that runs on e1 with a copy on e2
+    And the head of its answer has been received
+    When its prompt is blocked for 5000 ms
+    Then the first attempt is cancelled
+    And the answer is aborted
+
+  Scenario: a stream with an event goes on when its prompt is blocked
+    Given a stream that runs on e1 without a copy
+    And events 1 to 1 have been received
+    When its prompt is blocked for 5000 ms
+    And event 2 is received
+    Then event 2 is forwarded
+
+  # Guards against crashing the engine that holds the copy.
+  Scenario: a lost stream with a blocked prompt is not continued from its copy
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 1 have been received
+    When the engine's connection breaks
+    Then the stream is sent to e2 to continue after event 1 from its copy
+    When its prompt is blocked for 5000 ms
+    Then the second attempt is cancelled
+    And the answer is aborted
+
+  Scenario: a blocked stream that its engine still answers is not moved
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 1 have been received
+    When e1 announces that it is leaving and 2000 ms pass
+    And its prompt is blocked for 5000 ms
+    Then the second attempt is cancelled
+    When event 2 of the first attempt is received
+    Then event 2 is forwarded
+
+  # Guards against running a resumable stream again after it was blocked.
+  Scenario: a resumable stream with a blocked prompt is not placed again
+    Given a resumable stream that runs on e1
+    And events 1 to 1 have been received
+    When the engine's connection breaks
+    And its prompt is blocked for 5000 ms
+    Then the answer is aborted
+
   Scenario: an engine that was not reached does not count as an attempt
     Given a resumable stream that runs on e1
     When the engine is not reached
--- a/tests/steps/requests_forwarded_stream.py
+++ b/tests/steps/requests_forwarded_stream.py
@@ -32,6 +32,39 @@
     _start(context, True, None)
 
 
+@behave.given('a stream that has not been placed')
+def given_waiting(context):
+    context.simulation = stream_simulation.StreamSimulation(False)
+
+
+@behave.given('the head of its answer has been received')
+def head_came(context):
+    context.simulation.handle(messages.HeadReceived(1, True))
+
+
+@behave.when('its prompt is blocked for {span_ms:d} ms')
+def is_blocked(context, span_ms):
+    context.simulation.handle(messages.Blocked(float(span_ms)))
+
+
+@behave.then('it is refused as not run with a Retry-After of {span_ms:d} ms')
+def refused_not_run(context, span_ms):
+    (end,) = context.simulation.latest
+    assert end == messages.Fail(
+        states.Outcome.NOT_RUN, 'crashes_engines', span_ms
+    ), end
+
+
+@behave.then('the second attempt is cancelled')
+def second_cancelled(context):
+    assert messages.Cancel(2) in context.simulation.latest
+
+
+@behave.when('event {index:d} of the first attempt is received')
+def first_continues(context, index):
+    context.simulation.handle(messages.EventReceived(1, index, b'%d' % index))
+
+
 @behave.given('events {first:d} to {last:d} have been received')
 def events_came(context, first, last):
     context.simulation.handle(messages.HeadReceived(1, True))
--- a/tests/stream_simulation.py
+++ b/tests/stream_simulation.py
@@ -12,6 +12,8 @@
 
 DEADLINE_MS = 40_000.0
 STEPS = 60
+BLOCKED_RATE = 0.02
+"""Probability that a random event blocks the stream's prompt."""
 
 
 def upstream(name: str) -> kernel_events.UpstreamInfo:
@@ -159,12 +161,17 @@
             self.handle(messages.CopyEnded(target, 'h' if good else None))
         elif good:
             self.handle(messages.Placed(upstream(f'p{len(self.sent)}')))
+        elif self.generator.random() < 0.5:
+            self.handle(messages.Blocked(1.0))
         else:
             reason = states.RefusalReason.NO_UPSTREAM
             self.handle(messages.Refused(reason, 1.0))
 
     def step(self) -> None:
         """Generate one random event."""
+        if self.generator.random() < BLOCKED_RATE:
+            self.handle(messages.Blocked(1.0))
+            return
         choice = self.generator.random()
         if choice < 0.25 or not self.live:
             span_ms = self.generator.choice([5.0, 50.0, 400.0, 1_500.0])
