List blocked prompt parts in the status of a deployment

An operator could see from the logs of the entry VMs, but not from `deployment status`, which prompt parts are blocked. The status reads the rows of crash reports with a fourth call and prints each combination that they block.

--- a/eelgrassknot/forwarding/crash_reports.py
+++ b/eelgrassknot/forwarding/crash_reports.py
@@ -24,7 +24,13 @@
 from eelgrassknot import logs
 from eelgrassknot.policy import crash_evidence
 
-__all__ = ['CRASHES_TABLE', 'CrashReports', 'CrashRow', 'SurvivalRow']
+__all__ = [
+    'CRASHES_TABLE',
+    'CrashReports',
+    'CrashRow',
+    'SurvivalRow',
+    'blocked_combinations',
+]
 
 CRASHES_TABLE = 'eelgrassknot-crashes'
 MAX_KEY_BYTES = 200
@@ -210,9 +216,7 @@
     ) -> None:
         for row in rows:
             try:
-                found = msgspec.json.decode(
-                    row.value, type=CrashRow | SurvivalRow
-                )
+                found = _decode_row(row)
             except msgspec.MsgspecError as error:
                 logs.warning('crash_row_unreadable', key=row.key, why=error)
                 continue
@@ -235,16 +239,10 @@
                 self.evidence.record_survival([part], at_ms)
 
     def _is_expired(self, row: CrashRow | SurvivalRow, now_ms: float) -> bool:
-        """Return whether a row no longer counts.
-
-        Neither does a row from the future: the store's clock has jumped, or
-        another program wrote the row.
-        """
-        valid_ms = crash_evidence.BLOCK_MS
-        if isinstance(row, SurvivalRow):
-            valid_ms = SURVIVAL_ROW_MS
-        age_ms = now_ms - self.store_clock.local_ms(row.store_ms)
-        return not -MAX_AHEAD_MS <= age_ms <= valid_ms
+        """Return whether a row no longer counts at a local time."""
+        return _is_expired_at_age(
+            row, now_ms - self.store_clock.local_ms(row.store_ms)
+        )
 
     # Evidence
 
@@ -359,11 +357,9 @@
 
     def _update_blocked(self) -> None:
         """Log new combinations and update the gauge."""
-        verdicts = [
-            self.blocking(tuple(report.parts))
-            for report in self.reports.values()
-        ]
-        blocked = {each.parts for each in verdicts if each is not None}
+        blocked = _find_combinations(
+            self.evidence, self.reports.values(), self.loop.now_ms()
+        )
         for parts in blocked - self._logged:
             logs.warning('parts_blocked', parts=','.join(sorted(parts)))
         self._logged |= blocked
@@ -421,6 +417,59 @@
             self.writer.delete(row_store.RowKey(CRASHES_TABLE, key))
 
 
+def blocked_combinations(page: row_store.RowPage) -> set[frozenset[str]]:
+    """Return the combinations that the rows of the table block.
+
+    Args:
+        page: All rows of the table; unreadable ones are ignored.
+    """
+    evidence = crash_evidence.CrashEvidence()
+    reports = []
+    for row in page.rows:
+        try:
+            found = _decode_row(row)
+        except msgspec.MsgspecError:
+            # The VMs log why they ignore the row.
+            continue
+        if _is_expired_at_age(found, page.store_ms - found.store_ms):
+            continue
+        match found:
+            case CrashRow(engine, request, parts, store_ms):
+                report = crash_evidence.CrashReport(
+                    engine, request, frozenset(parts), store_ms
+                )
+                evidence.record_crash(report)
+                reports.append(report)
+            case SurvivalRow(part, store_ms):
+                evidence.record_survival([part], store_ms)
+    return _find_combinations(evidence, reports, page.store_ms)
+
+
+def _find_combinations(
+    evidence: crash_evidence.CrashEvidence,
+    reports: collections.abc.Iterable[crash_evidence.CrashReport],
+    now_ms: float,
+) -> set[frozenset[str]]:
+    verdicts = [evidence.blocking(each.parts, now_ms) for each in reports]
+    return {each.parts for each in verdicts if each is not None}
+
+
+def _decode_row(row: row_store.StoreRow) -> CrashRow | SurvivalRow:
+    return msgspec.json.decode(row.value, type=CrashRow | SurvivalRow)
+
+
+def _is_expired_at_age(row: CrashRow | SurvivalRow, age_ms: float) -> bool:
+    """Return whether a row no longer counts.
+
+    Neither does a row from the future: the store's clock has jumped, or
+    another program wrote the row.
+    """
+    valid_ms = crash_evidence.BLOCK_MS
+    if isinstance(row, SurvivalRow):
+        valid_ms = SURVIVAL_ROW_MS
+    return not -MAX_AHEAD_MS <= age_ms <= valid_ms
+
+
 def _survival_key(part: str) -> str:
     return _bounded_key(f'survived/{part}')
 
--- a/eelgrassknot/forwarding/overview.py
+++ b/eelgrassknot/forwarding/overview.py
@@ -6,6 +6,7 @@
 import result
 
 from eelgrassknot import exceptions
+from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import peer_discovery
@@ -46,6 +47,7 @@
 
     Attributes:
         state_version: Version of the state in force; None before the first.
+        blocked: Combinations of prompt parts that crash reports block.
     """
 
     state_version: int | None
@@ -53,6 +55,7 @@
     accounts: int
     upstreams: list[UpstreamSummary]
     vms: list[VmSummary]
+    blocked: list[list[str]]
 
 
 def read_overview(
@@ -60,7 +63,7 @@
     dialect: dialects.Dialect,
     regions: collections.abc.Mapping[str, str],
 ) -> result.Result[Overview, exceptions.EelgrassknotError]:
-    """Read the tables of a deployment with three calls.
+    """Read the tables of a deployment with four calls.
 
     Args:
         store: Client of the store.
@@ -72,12 +75,13 @@
         dialect.config_table,
         dialect.upstreams_table,
         peer_discovery.VMS_TABLE,
+        crash_reports.CRASHES_TABLE,
     ):
         page = store.read_table(table)
         if isinstance(page, result.Err):
             return page
         pages.append(page.ok_value)
-    states, upstreams, vms = pages
+    states, upstreams, vms, crashes = pages
     state = None
     for row in states.rows:
         if row.key == dialect.config_key:
@@ -97,6 +101,10 @@
                 for row in upstreams.rows
             ],
             vms=[_summarize_vm(row) for row in vms.rows],
+            blocked=sorted(
+                sorted(parts)
+                for parts in crash_reports.blocked_combinations(crashes)
+            ),
         )
     )
 
--- a/tests/cli/deployment.feature
+++ b/tests/cli/deployment.feature
@@ -37,6 +37,17 @@
     And the upstreams w1 and d2 are listed as live, the bad entry as unreadable
     And the entry VM vm-1 is listed
 
+  # Guards against blocked requests whose cause no operator can see.
+  Scenario: the status shows the prompt parts that crash reports block
+    Given the platform's stand-in with two servers of each service
+    And an empty directory
+    And rows of crashes of 3 engines under "bad" that are 500 s old
+    And rows of crashes of 3 engines under "old" that are 601 s old
+    And rows of crashes of 2 engines under "few" that are 1 s old
+    When the operator asks the stand-in's store for the status
+    Then the command exits with 0 and prints "blocked prompt parts: bad"
+    And only one combination of parts is listed as blocked
+
   Scenario: an unavailable store is an error with a remedy
     Given the platform's stand-in with two servers of each service
     And an empty directory
--- a/tests/steps/cli_deployment.py
+++ b/tests/steps/cli_deployment.py
@@ -101,3 +101,8 @@
 @behave.then('the entry VM vm-1 is listed')
 def vm_listed(context):
     assert _line(context, 'vm-1') == ['vm-1', 'z', '10.0.0.1:7200']
+
+
+@behave.then('only one combination of parts is listed as blocked')
+def one_blocked(context):
+    assert context.done.stdout.count('blocked prompt parts') == 1
