Refuse the streams that wait for an engine when a drain begins

What callers saw (found in the review of the drain): a stream that had waited for an engine since before SIGTERM was refused at the end of the grace period, without Retry-After, or was placed so late that it was cut.

Cause: the drain brought the deadline of the request forward, but the order in the queue kept its own, and nothing asked whether a stream that had not been sent could still end in time.

Change: a stream of which nothing has been sent, and whose deadline lies beyond the grace period, is refused as not run when the drain begins. The last step of a drain is also scheduled for the exit time rather than up to 100 ms after it.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -212,7 +212,8 @@
             self.forwarder.abort_active('grace_over')
             self.loop.stop()
             return
-        self.loop.call_later(DRAIN_STEP_MS, self._drain_step)
+        next_ms = self.loop.now_ms() + DRAIN_STEP_MS
+        self.loop.call_at(min(next_ms, self.exit_ms), self._drain_step)
 
     def _accept_caller(self, stream: socket.socket) -> None:
         connection = caller_connection.CallerConnection(self.forwarder, stream)
--- a/eelgrassknot/forwarding/error_responses.py
+++ b/eelgrassknot/forwarding/error_responses.py
@@ -5,7 +5,10 @@
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot import states
 
-__all__ = ['send_error']
+__all__ = ['RETRY_ELSEWHERE_MS', 'send_error']
+
+RETRY_ELSEWHERE_MS = 500.0
+"""Retry-After of a request that this VM cannot serve and others may; ms."""
 
 _ERROR_TYPES = {
     400: 'invalid_request',
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -21,9 +21,6 @@
 
 MAX_LOGGED_FAULTS = 5
 """Maximum number of faults logged per state; the command line lists all."""
-RETRY_AFTER_MS = 500.0
-"""Retry-After while this VM's state is missing or too old to serve; ms.
-The retry is served by another VM."""
 
 
 class Forwarder:
@@ -234,7 +231,7 @@
         retry_after_ms = None
         if status == 503:
             outcome = states.Outcome.NOT_RUN
-            retry_after_ms = RETRY_AFTER_MS
+            retry_after_ms = error_responses.RETRY_ELSEWHERE_MS
         error_responses.send_error(
             exchange, status, outcome, reason, retry_after_ms
         )
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -176,6 +176,18 @@
             self._place(frozenset())
             self.schedule_timeout()
 
+    def limit_deadline(self, deadline_ms: float) -> None:
+        """Refuse the stream if it is still waiting, or limit it."""
+        if deadline_ms < self.machine.deadline_ms and self.machine.is_unsent:
+            self.dispatch(
+                messages.Refused(
+                    states.RefusalReason.DRAINING,
+                    error_responses.RETRY_ELSEWHERE_MS,
+                )
+            )
+            return
+        super().limit_deadline(deadline_ms)
+
     def upstream_leaving(self, upstream: str) -> None:
         """Handle an upstream that is leaving or has left."""
         self.dispatch(messages.UpstreamLeaving(upstream))
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -159,6 +159,11 @@
                 )
         return wake_ms
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether nothing has been sent to any upstream."""
+        return self.stage is _Stage.PLACING and not self.may_have_run
+
     # Sending
 
     def _start_run(
--- a/tests/forwarding/drain.feature
+++ b/tests/forwarding/drain.feature
@@ -28,6 +28,13 @@
     Then the stream that its engine never answers gets 504 and unknown
     And the VM exits with code 0 within its grace period
 
+  # Guards against a stream that is placed so late in a drain that it is cut.
+  Scenario: a stream that waits for an engine is refused when a drain begins
+    Given a stream that waits because no engine is listed
+    When SIGTERM is sent and 0.1 s pass
+    Then it is refused with 503, Retry-After and the outcome not_run
+    And the VM exits with code 0 within its grace period
+
   # Guards against an exit that drops the unsent rest of a response.
   Scenario: a draining VM sends a large answer to a slow caller in full
     Given a caller with a small window that does not read its large answer
--- a/tests/steps/forwarding_drain.py
+++ b/tests/steps/forwarding_drain.py
@@ -3,10 +3,14 @@
 import itertools
 import json
 import signal
+import socket
 import time
 
 import behave
 
+from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import caller_connection
+from eelgrassknot.forwarding import loop as loops
 from tests import entry_process
 
 SMALL_WINDOW_BYTES = 8_192
@@ -21,6 +25,7 @@
     )
     context.add_cleanup(context.entry.stop)
     context.entry.wait_ready()
+    context.answer = None
 
 
 def _caller(context):
@@ -58,6 +63,80 @@
         engine.faults.clear()
 
 
+@behave.given('a stream that waits because no engine is listed')
+def waiting_stream(context):
+    for engine in context.engines:
+        context.platform.put('servers', engine.name, None)
+    entry_process.wait_until(
+        lambda: (
+            context.entry.log().count('event=upstream_gone')
+            == len(context.engines)
+        ),
+        5.0,
+        'the engines are gone',
+    )
+    context.caller = _caller(context)
+    context.request = _send(context, context.caller, '/write/x')
+    entry_process.wait_until(
+        lambda: b'eelgrassknot_streams_waiting 1.0' in _metrics(context),
+        5.0,
+        'the stream waits',
+    )
+
+
+def _metrics(context):
+    with entry_process.Caller(context.entry.ports['metrics']) as caller:
+        return caller.ask('GET', '/metrics', {}).body
+
+
+@behave.given('a connection that has received two requests')
+def two_requests(context):
+    context.loop = loops.EventLoop(clocks.MonotonicClock())
+    context.limits = caller_connection.DEFAULT_LIMITS
+    context.exchanges = []
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        context.peer = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    context.add_cleanup(ours.close)
+    context.add_cleanup(context.peer.close)
+    connection = caller_connection.CallerConnection(_Server(context), ours)
+    request = b'GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n'
+    connection.received(2 * request)
+    context.connection = connection
+
+
+@behave.when('the first of them is answered')
+def first_answered(context):
+    context.exchanges[0].respond(200, [], b'')
+
+
+@behave.then('the connection is not idle until the second is answered')
+def not_idle_until_answered(context):
+    assert not context.connection.is_idle
+    context.loop.call_soon(context.loop.stop)
+    context.loop.run()
+    assert not context.connection.is_idle
+    context.exchanges[1].respond(200, [], b'')
+    assert context.connection.is_idle
+
+
+class _Server:
+    """Server that keeps the exchanges of its connections."""
+
+    draining = False
+
+    def __init__(self, context):
+        self.loop = context.loop
+        self.limits = context.limits
+        self.exchanges = context.exchanges
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+
+    def connection_closed(self, connection):
+        """Do nothing; the test ends with the connection."""
+
+
 @behave.given('engines that answer no further stream')
 def hung_engines(context):
     for engine in context.engines:
@@ -119,7 +198,7 @@
     'the second is refused with 503, Retry-After and the outcome not_run'
 )
 def refused_not_run(context):
-    answer = context.answer
+    answer = context.answer or context.caller.read()
     assert answer.status == 503, (answer.status, context.entry.log())
     assert float(answer.headers['retry-after']) > 0, answer.headers
     assert json.loads(answer.body)['error']['outcome'] == 'not_run'
