Count a pipelined request as in progress while a VM drains

Cause: between two requests of a connection nothing was in progress, although bytes of the second had been read; the event loop runs timers, and so the exit, before the deferred parsing.

Evidence: the new scenario failed before the change, as did a trial of the review with the timing forced.

Change: a connection that has received bytes of a request is not idle.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -167,8 +167,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
-        return self.exchange is None and self.head is None
+        """Whether no request is being read or answered, or has arrived."""
+        return (
+            self.exchange is None
+            and self.head is None
+            and not self.parser.trailing_data[0]
+        )
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -229,7 +233,7 @@
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress."""
-        if self.is_idle and not self.parser.trailing_data[0]:
+        if self.is_idle:
             self._close()
 
     def abort(self) -> None:
--- a/tests/forwarding/drain.feature
+++ b/tests/forwarding/drain.feature
@@ -35,6 +35,12 @@
     Then it is refused with 503, Retry-After and the outcome not_run
     And the VM exits with code 0 within its grace period
 
+  # Guards against an exit between two requests of one connection.
+  Scenario: a connection with a pipelined request is not idle
+    Given a connection that has received two requests
+    When the first of them is answered
+    Then the connection is not idle until the second is answered
+
   # Guards against an exit that drops the unsent rest of a response.
   Scenario: a draining VM sends a large answer to a slow caller in full
     Given a caller with a small window that does not read its large answer
