--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -31,7 +31,11 @@
     'event_missing': 'the upstream skipped an event of the stream',
     'draining': (
         'the VM was told to stop and the request could have outlasted its '
-        'grace period; another VM serves its retry'
+        'grace period; VMs that are ready serve its retry'
+    ),
+    'crashes_engines': (
+        'several engines crashed under parts of its prompt; see '
+        'stream_blocked and parts_blocked'
     ),
     'grace_over': (
         'the VM was told to stop and its grace period ended before the '
