Log the request limits of upstreams and what is sent to limited ones

Today's logs cannot tell who sent how much to a server that had named a limit, or who knew of it. A VM now reads the limit from the head of each response and logs upstream_limit when it is stated, changed or withdrawn, and sent_to_limited for each request to such an upstream: calls, streams, continued runs and transfers of memory. Two metrics count them. No decision uses the limits yet.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -20,6 +20,7 @@
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import engine_scheduler
 from eelgrassknot.forwarding import forwarder as forwarders
+from eelgrassknot.forwarding import limit_monitor
 from eelgrassknot.forwarding import load_publisher
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import metrics
@@ -86,6 +87,7 @@
         self.replicated_state = replicated_state.ReplicatedState(
             settings, dialect, self.loop, self.generator, self
         )
+        self.limits = limit_monitor.LimitMonitor(dialect, self.loop)
         self.context = works.Context(
             loop=self.loop,
             connections=upstream_connection.ConnectionPool(self.loop),
@@ -95,6 +97,7 @@
             plain_pool=self.plain_pool,
             scheduler=self.scheduler,
             crash_reports=self.replicated_state.crash_reports,
+            limits=self.limits,
             retry_ratio=settings.rules.retry_ratio,
             retry_burst=self._retry_burst,
         )
@@ -231,6 +234,7 @@
         services = {}
         if self.forwarder.state is not None:
             services = self.forwarder.state.services
+        self.limits.upstreams_changed(directory.upstreams)
         self.plain_pool.upstreams = dict(directory.upstreams)
         self.scheduler.update_engines(
             dict(directory.upstreams), services, directory.warm_until_ms
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -5,6 +5,7 @@
 from eelgrassknot import clock as clocks
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import error_responses
+from eelgrassknot.forwarding import limit_monitor
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import machine_driver
 from eelgrassknot.forwarding import metrics
@@ -81,6 +82,7 @@
     ) -> None:
         """Store the status and headers of the response."""
         self._finish_waiting(responded=True)
+        self.context.limits.response_started(self.upstream, status, headers)
         self.status = status
         self.upstream_headers = headers
         self.body = bytearray()
@@ -216,6 +218,12 @@
             action.upstream.upstream, self.now_ms()
         )
         self.awaiting_response = True
+        self.context.limits.request_sent(
+            action.upstream,
+            self.work.request,
+            limit_monitor.Purpose.CALL,
+            action.attempt,
+        )
         self.attempt = works.send(
             self.context,
             self.work,
--- a/eelgrassknot/forwarding/dialect.py
+++ b/eelgrassknot/forwarding/dialect.py
@@ -81,6 +81,9 @@
         is_signed: Whether a response carries an upstream's signature.
         declares_not_executed: Whether a response guarantees that the
             request was not executed.
+        stated_limit: Returns the requests per second that the upstream
+            takes from all VMs together, or None if a response states no
+            limit.
         encode_kv_transfer: Encodes the call that transfers a run's memory.
         decode_kv_transfer: Decodes the response to that call.
     """
@@ -110,6 +113,10 @@
     ]
     is_signed: collections.abc.Callable[[Headers], bool]
     declares_not_executed: collections.abc.Callable[[int, Headers], bool]
+    stated_limit: collections.abc.Callable[
+        [Headers],
+        result.Result[float | None, exceptions.MalformedAnswerError],
+    ]
     encode_kv_transfer: collections.abc.Callable[
         [str, ids.RequestId, str, bool], tuple[h11.Request, bytes]
     ]
--- a/eelgrassknot/forwarding/kv_transfer.py
+++ b/eelgrassknot/forwarding/kv_transfer.py
@@ -3,7 +3,7 @@
 import collections.abc
 import dataclasses
 
-
+from eelgrassknot.forwarding import limit_monitor
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import upstream_connection
 from eelgrassknot.forwarding import work as works
@@ -55,6 +55,9 @@
         self.timer = context.loop.call_later(
             TRANSFER_TIMEOUT_MS, lambda: self._finish(None)
         )
+        context.limits.request_sent(
+            plan.source, plan.request, limit_monitor.Purpose.TRANSFER, 1
+        )
         self.attempt = upstream_connection.Attempt(
             context.connections,
             None,
--- a/eelgrassknot/forwarding/metrics.py
+++ b/eelgrassknot/forwarding/metrics.py
@@ -7,6 +7,8 @@
     'BLOCKED_COMBINATIONS',
     'COPIES',
     'CRASH_REPORTS',
+    'LIMITED_REQUESTS',
+    'LIMITED_UPSTREAMS',
     'REQUESTS_IN_PROGRESS',
     'CONNECTIONS_OPENED',
     'REFUSALS',
@@ -52,6 +54,15 @@
     'eelgrassknot_upstream_connections_opened',
     'Connections opened to upstreams',
 )
+LIMITED_UPSTREAMS = prometheus_client.Gauge(
+    'eelgrassknot_limited_upstreams',
+    'Upstreams that currently state a request limit',
+)
+LIMITED_REQUESTS = prometheus_client.Counter(
+    'eelgrassknot_limited_requests',
+    'Requests sent to upstreams with a request limit, by purpose',
+    ['purpose'],
+)
 STORE_CALLS = prometheus_client.Counter(
     'eelgrassknot_store_calls',
     'Calls to the store, by outcome',
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -6,6 +6,7 @@
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import error_responses
 from eelgrassknot.forwarding import kv_transfer
+from eelgrassknot.forwarding import limit_monitor
 from eelgrassknot.forwarding import machine_driver
 from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
@@ -66,6 +67,9 @@
         self.status = status
         self.headers = headers
         self.head_ms = self.driver.now_ms()
+        self.driver.context.limits.response_started(
+            self.upstream, status, headers
+        )
         is_signed = self.driver.context.dialect.is_signed(headers)
         if status in SUCCESS_STATUSES and is_signed:
             self.driver.dispatch(messages.HeadReceived(self.number, True))
@@ -390,6 +394,12 @@
             engine_tokens=sums.tokens + sums.copy_tokens,
             engine_unread=sums.unread_tokens,
         )
+        purpose = limit_monitor.Purpose.STREAM
+        if send.continue_from is not None:
+            purpose = limit_monitor.Purpose.CONTINUATION
+        self.context.limits.request_sent(
+            send.upstream, self.work.request, purpose, send.attempt
+        )
         attempt.upstream_attempt = works.send(
             self.context,
             self.work,
--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -10,6 +10,7 @@
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect
+from eelgrassknot.forwarding import limit_monitor
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import upstream_connection
@@ -36,6 +37,7 @@
         plain_pool: Selects upstreams of plain services.
         scheduler: Selects engines.
         crash_reports: Crashes of engines and the requests that they block.
+        limits: Request limits stated by upstreams.
         budgets: Retry budget of each service.
         retry_ratio: Number of retries that each request adds to the
             budget.
@@ -51,6 +53,7 @@
     plain_pool: plain.PlainPool
     scheduler: 'engine_scheduler.EngineScheduler'
     crash_reports: crash_reports.CrashReports
+    limits: limit_monitor.LimitMonitor
     retry_ratio: float
     retry_burst: collections.abc.Callable[[], float]
     budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = (
--- a/eelgrassknot/platform/plugin.py
+++ b/eelgrassknot/platform/plugin.py
@@ -25,6 +25,7 @@
     echoed_request_id=wire.echoed_request_id,
     is_signed=wire.is_signed,
     declares_not_executed=wire.declares_not_executed,
+    stated_limit=wire.stated_limit,
     encode_kv_transfer=engines.encode_kv_transfer,
     decode_kv_transfer=engines.decode_kv_transfer,
 )
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -1,7 +1,11 @@
 """HTTP headers of the users' platform."""
 
 import collections.abc
+import math
 
+import result
+
+from eelgrassknot import exceptions
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
@@ -14,6 +18,7 @@
     'forwarded_headers',
     'is_signed',
     'declares_not_executed',
+    'stated_limit',
 ]
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
@@ -42,6 +47,8 @@
 SIGNATURE = b'server-stamp'
 # Present on a response if the upstream did not execute the request.
 NOT_EXECUTED = b'not-executed'
+# Requests per second that the upstream takes from all VMs together.
+REQUEST_LIMIT = b'server-limit'
 
 _HOP_BY_HOP = frozenset(
     [
@@ -156,6 +163,28 @@
     return status == MISDIRECTED or NOT_EXECUTED in _lowercase_names(headers)
 
 
+def stated_limit(
+    headers: Headers,
+) -> result.Result[float | None, exceptions.MalformedAnswerError]:
+    """Return the request limit that a response states, or None.
+
+    Args:
+        headers: Pairs of name and value.
+    """
+    stated = _decode_text(_lowercase_names(headers).get(REQUEST_LIMIT))
+    if stated is None:
+        return result.Ok(None)
+    per_s = _parse_float(stated.encode('latin-1'))
+    if per_s is None or not math.isfinite(per_s) or per_s < 0:
+        return result.Err(
+            exceptions.MalformedAnswerError(
+                f'the request limit {stated!r} is not a rate',
+                'check the upstream; its previous limit stays in force',
+            )
+        )
+    return result.Ok(per_s)
+
+
 def _lowercase_names(headers: Headers) -> dict[bytes, bytes]:
     return {name.lower(): value for name, value in headers}
 
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -61,3 +61,16 @@
     Then settings with the unknown field "colour" are rejected with an error naming it
     And settings without "region" are rejected with an error naming it
     And settings with the address "here" are rejected with an error naming it
+
+  Scenario Outline: decoding of an upstream's request limit
+    Then the request limit <header> is decoded as <meaning>
+
+    Examples:
+      | header | meaning  |
+      | 1.25   | 1.25     |
+      | 0      | 0.0      |
+      | none   | no limit |
+      | many   | invalid  |
+      | -1     | invalid  |
+      | nan    | invalid  |
+      | inf    | invalid  |
--- a/tests/steps/platform_translation.py
+++ b/tests/steps/platform_translation.py
@@ -133,3 +133,16 @@
         lambda document: document['listen'].update(callers=address)
     )
     assert address in message and 'callers' in message, message
+
+
+@behave.then('the request limit {header} is decoded as {meaning}')
+def limit_read(context, header, meaning):
+    headers = [(b'Server-Limit', header.encode())] if header != 'none' else []
+    match wire.stated_limit(headers):
+        case result.Ok(None):
+            decoded = 'no limit'
+        case result.Ok(per_s):
+            decoded = str(per_s)
+        case result.Err():
+            decoded = 'invalid'
+    assert decoded == meaning, decoded
