--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -129,6 +129,8 @@
         seen: Headers of the received requests.
         move_fault: Fault of all calls that copy the memory of a run.
         connections: Number of accepted connections.
+        limit_per_s: Request limit that all answers state, or None.
+        arrivals_s: Arrival of each request, on the monotonic clock.
         unended: Endless responses that the peer has not cut off.
         deadly_parts: Parts of prompts that crash the server when it
             begins to answer.
@@ -146,6 +148,8 @@
         self.seen: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.connections = 0
+        self.limit_per_s: float | None = None
+        self.arrivals_s: list[float] = []
         self.unended: list[users_http.Handler] = []
         self.deadly_parts: set[str] = set()
         self.successor: Upstream | None = None
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -24,6 +24,12 @@
         super().setup()
         self.server.owner.connections += 1
 
+    def end_headers(self) -> None:
+        limit_per_s = self.server.owner.limit_per_s
+        if limit_per_s is not None:
+            self.send_header('Server-Limit', str(limit_per_s))
+        super().end_headers()
+
     def do_GET(self) -> None:
         self.serve()
 
@@ -33,6 +39,7 @@
     def serve(self) -> None:
         upstream = self.server.owner
         body = self.read_body()
+        upstream.arrivals_s.append(time.monotonic())
         if self.path == '/api/kv-move':
             self.move(json.loads(body))
             return
