Health: a faulty upstream is used before callers are refused for limits

The service had three servers, two of them with a limit of one request a second.

At least half of the upstreams stay in use, but the half that remained takes next to nothing.

Change: if all usable upstreams have a limit, those that were ejected for the content of their responses are used too. One that does not respond, or was ejected for another reason, stays out: a call that it swallows may have run.

--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -139,7 +139,7 @@
                 attempt, upstream_connection.Fault.MALFORMED, True
             )
             return
-        self._record_health(self.status < 500)
+        self._record_health(self.status < 500, True)
         answer = messages.ForwardedAnswer(
             self.status,
             tuple(self.upstream_headers),
@@ -160,7 +160,7 @@
             self._finish('broken')
             return
         self._finish_waiting(responded=False)
-        self._record_health(False)
+        self._record_health(False, False)
         metrics.ATTEMPT_FAULTS.labels(fault.value).inc()
         logs.event(
             'attempt_failed',
@@ -382,12 +382,12 @@
             logs.event('upstream_mute', upstream=self.upstream.upstream)
             health.eject(self.upstream.upstream, now_ms)
 
-    def _record_health(self, succeeded: bool) -> None:
+    def _record_health(self, succeeded: bool, by_response: bool) -> None:
         if succeeded:
             self.context.health.record_success(self.upstream.upstream)
         else:
             self.context.health.record_failure(
-                self.upstream.upstream, self.now_ms()
+                self.upstream.upstream, self.now_ms(), by_response
             )
 
     def _finish(self, reason: str) -> None:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -259,7 +259,7 @@
             )
             return
         self.context.health.record_failure(
-            attempt.upstream.upstream, self.now_ms()
+            attempt.upstream.upstream, self.now_ms(), by_response=True
         )
         self._log_attempt(attempt, f'status_{attempt.status}')
         self.dispatch(messages.HeadReceived(attempt.number, False))
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -187,7 +187,9 @@
             if engine.upstream not in order.excluded
         ]
         names = [engine.upstream for engine in engines]
-        usable = set(self.health_tracker.usable(names, now_ms))
+        usable = set(
+            self.health_tracker.usable(names, now_ms, self.permits.is_limited)
+        )
         return [e for e in engines if e.upstream in usable]
 
     def _permit_wait_ms(self, engine: engine_pairs.Engine) -> float:
--- a/eelgrassknot/policy/health.py
+++ b/eelgrassknot/policy/health.py
@@ -5,13 +5,16 @@
 answers no request gets no new work in the meantime. After a back-off, an
 ejected upstream returns on probation with a low allowance that doubles as
 time passes. At least half of a service's upstreams stay in use, so that
-ejection cannot remove all of them.
+ejection cannot remove all of them. If all that remain have a request
+limit, those that were ejected for the content of their responses stay in
+use too: most of their responses may be good, and a limit leaves no others.
 
 References:
     Huang et al., "Gray Failure: The Achilles' Heel of Cloud-Scale
     Systems", HotOS 2017.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import math
 import statistics
@@ -46,12 +49,14 @@
         sample_count: Number of token observations.
         slow_start_ms: Start of its slow start.
         unanswered: Requests without a first response byte yet.
+        fails_by_response: Whether its last failure was a response.
         silent_since_ms: Time from which it has sent nothing although
             requests are pending, or None.
     """
 
     def __init__(self, slow_start_ms: float) -> None:
         self.failures = 0
+        self.fails_by_response = False
         self.ejections = 0
         self.ejected_until_ms: float | None = None
         self.token_time_ms = 0.0
@@ -124,13 +129,18 @@
         self.upstreams.pop(upstream, None)
 
     def usable(
-        self, upstreams: Sequence[ids.UpstreamId], now_ms: float
+        self,
+        upstreams: Sequence[ids.UpstreamId],
+        now_ms: float,
+        is_limited: Callable[[ids.UpstreamId], bool] | None = None,
     ) -> list[ids.UpstreamId]:
         """Return the usable upstreams, at least ``MIN_IN_USE_SHARE`` of all.
 
         Args:
             upstreams: Reachable upstreams of one service.
             now_ms: The present time.
+            is_limited: Whether an upstream has a request limit; None if
+                none has.
         """
         healthy = []
         ejected = []
@@ -147,11 +157,30 @@
             ejected.sort()
             missing = minimum - len(healthy)
             healthy.extend(upstream for _, upstream in ejected[:missing])
+        if is_limited is not None and all(map(is_limited, healthy)):
+            healthy.extend(
+                upstream
+                for _, upstream in ejected
+                if not is_limited(upstream)
+                and self._responds(upstream, now_ms)
+            )
         return healthy
 
-    def record_failure(self, upstream: ids.UpstreamId, now_ms: float) -> None:
-        """Record a failed attempt; eject after consecutive failures."""
+    def record_failure(
+        self,
+        upstream: ids.UpstreamId,
+        now_ms: float,
+        by_response: bool = False,
+    ) -> None:
+        """Record a failed attempt; eject after consecutive failures.
+
+        Args:
+            upstream: The upstream.
+            now_ms: The present time.
+            by_response: Whether it responded, but with a failure.
+        """
         health = self.get_or_create(upstream, now_ms, False)
+        health.fails_by_response = by_response
         health.failures += 1
         if health.failures >= FAILURES_TO_EJECT:
             self._eject(health, now_ms)
@@ -193,7 +222,9 @@
 
     def eject(self, upstream: ids.UpstreamId, now_ms: float) -> None:
         """Eject an upstream at once, whatever its number of failures."""
-        self._eject(self.get_or_create(upstream, now_ms, False), now_ms)
+        health = self.get_or_create(upstream, now_ms, False)
+        health.fails_by_response = False
+        self._eject(health, now_ms)
 
     def eject_slow(
         self, upstreams: Sequence[ids.UpstreamId], now_ms: float
@@ -240,6 +271,10 @@
             return False
         return now_ms < health.ejected_until_ms
 
+    def _responds(self, upstream: ids.UpstreamId, now_ms: float) -> bool:
+        health = self.upstreams[upstream]
+        return health.fails_by_response and not health.is_unresponsive(now_ms)
+
     def _eject(self, health: UpstreamHealth, now_ms: float) -> None:
         backoff_ms = FIRST_EJECTION_MS * 2.0**health.ejections
         health.ejections += 1
