--- a/tests/policy/upstream_limits.feature
+++ b/tests/policy/upstream_limits.feature
@@ -60,15 +60,15 @@
   # for failures that it answers among many good responses.
   Scenario: an ejected upstream that responds is used before a call is refused
     Given the upstreams "a b c" with the permit waits "500 500 none"
-    When "c" fails 3 times by responses
+    When the upstream "c" fails 3 times by responses
     Then 20 calls that can wait 200 ms go to "c"
 
   Scenario: an upstream that does not respond stays ejected beside limited ones
     Given the upstreams "a b c" with the permit waits "500 900 none"
-    When "c" fails 3 times without a response
+    When the upstream "c" fails 3 times without a response
     Then a call that can wait 200 ms is refused and may return after 500 ms
 
   Scenario: an ejected upstream stays ejected while others have no limit
     Given the upstreams "a b c" with the permit waits "500 none none"
-    When "c" fails 3 times by responses
+    When the upstream "c" fails 3 times by responses
     Then 20 calls that can wait 200 ms go to "b"
--- a/tests/steps/policy_upstream_limits.py
+++ b/tests/steps/policy_upstream_limits.py
@@ -210,13 +210,13 @@
     assert [r.request for r in context.results] == [first, later]
 
 
-@behave.when('"{name}" fails {count:d} times by responses')
+@behave.when('the upstream "{name}" fails {count:d} times by responses')
 def fails_by_responses(context, name, count):
     for _ in range(count):
         context.pool.health_tracker.record_failure(name, 0.0, by_response=True)
 
 
-@behave.when('"{name}" fails {count:d} times without a response')
+@behave.when('the upstream "{name}" fails {count:d} times without a response')
 def fails_without_response(context, name, count):
     for _ in range(count):
         context.pool.health_tracker.record_failure(name, 0.0)
