Transfers: late copies of other requests' answers are skipped

What could happen: an upstream sends a second copy of an answer late, on a connection that is in use again. Calls and streams skip it by the request ID that it echoes. A transfer of a run's memory had no ID to compare with, took the copy for its own response, failed, and returned the connection to the pool with its real response still to come. The next request on it would have read that.

Change: a transfer is matched by the ID of its run; its own response echoes none.

--- a/eelgrassknot/forwarding/kv_transfer.py
+++ b/eelgrassknot/forwarding/kv_transfer.py
@@ -132,7 +132,7 @@
         )
         self.attempt = upstream_connection.Attempt(
             context.connections,
-            None,
+            plan.request,
             plan.source.address,
             self,
             lambda: head,
