Attempts: a VM that was paused while it connected sends nothing

What could happen: a VM decides to send a request, opens a connection and is paused. When it goes on, its loop handles sockets before timers, so the request went out seconds later, with a permit, a key or a deadline that had run out meanwhile.

Change: an attempt whose connection took longer than the timeout of connecting fails as not connected, before a byte is sent, and the request is placed anew.

Test: the new scenario failed before (the request was sent after 3 s).

--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -181,6 +181,7 @@
         require_fresh: Whether the connection must be new or recently used.
 
     Attributes:
+        started_ms: When the connection was requested.
         sent_at_ms: When the first byte was sent, or None.
         is_over: Whether the attempt has ended; no callbacks follow.
         response_started: Whether the head of the response has come.
@@ -217,6 +218,7 @@
         self.preceding_bytes = 0
         self.preceding_responses = 0
         self.keep_ms = IDLE_MS
+        self.started_ms = pool.loop.now_ms()
         self.sent_at_ms: float | None = None
         self.timer: loops.Timer | None = None
         self.pooled = pool.acquire(address, require_fresh)
@@ -239,11 +241,16 @@
         if self.is_over:
             return
         self._stop_timer()
+        now_ms = self.pool.loop.now_ms()
+        if now_ms - self.started_ms > CONNECT_TIMEOUT_MS:
+            # The VM was paused. What allowed the request may have expired.
+            self._fail(Fault.NOT_CONNECTED)
+            return
         self.parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.head = self.build_head()
-        self.sent_at_ms = self.pool.loop.now_ms()
+        self.sent_at_ms = now_ms
         data = self.parser.send(self.head)
         if self.body:
             data += self.parser.send(h11.Data(data=self.body))
--- a/tests/forwarding/upstream_connection.feature
+++ b/tests/forwarding/upstream_connection.feature
@@ -7,3 +7,9 @@
     When a call is answered and a transfer of another run follows on its connection
     Then the transfer returns the handle of its own response
     And no connection with unread bytes is kept
+
+  # Guards against a request that is sent long after it was decided on.
+  Scenario: a connection that was ready only after a pause is not used
+    Given an upstream whose connection is ready while the VM is paused for 3 s
+    When the VM handles the connection before its timers
+    Then the attempt fails as not connected and no byte is sent
