Streams: comments of a stalled engine are no progress

What could happen: an engine stalls in the middle of a stream and sends a comment now and then. Each comment counted as an event, so the run was never taken for silent and did not continue from its copy; the caller waited until the deadline.

Change: comments are forwarded as they come, but do not count as events: not for silence, nor for the evidence that a prompt has not crashed its engine, nor for the times and tokens of the stream.

Test: the new scenario of the whole path failed before (the stream ended at the deadline).

--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -6,7 +6,7 @@
 
 import re
 
-__all__ = ['EventSplitter', 'event_index']
+__all__ = ['EventSplitter', 'event_index', 'is_comment']
 
 _END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _MAX_END_BYTES = 4
@@ -58,3 +58,16 @@
     """
     match = _ID.search(event)
     return None if match is None else int(match.group(1))
+
+
+def is_comment(event: bytes) -> bool:
+    """Return whether an event has no fields, but only comments.
+
+    Example:
+        >>> is_comment(b': still here\\n\\n')
+        True
+        >>> is_comment(b': note\\ndata: x\\n\\n')
+        False
+    """
+    lines = filter(None, event.splitlines())
+    return all(line.startswith(b':') for line in lines)
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -93,9 +93,7 @@
             buffered = len(self.buffered_body)
         else:
             for event in self.splitter.feed(data):
-                self._record_event()
-                index = sse.event_index(event)
-                self.driver.event_received(self, index, event)
+                self._handle_event(event)
             buffered = len(self.splitter.pending)
         if buffered > upstream_connection.MAX_BUFFERED_BYTES:
             attempt.reject('a failure or an event is too large')
@@ -142,6 +140,14 @@
         """Whether the head of a signed successful response was received."""
         return self.head_ms is not None and self.buffered_body is None
 
+    def _handle_event(self, event: bytes) -> None:
+        if sse.is_comment(event):
+            # Engines that have stalled may still send comments.
+            self.driver.dispatch(messages.CommentReceived(self.number, event))
+            return
+        self._record_event()
+        self.driver.event_received(self, sse.event_index(event), event)
+
     def _record_event(self) -> None:
         self.events += 1
         if self.events == SURVIVAL_EVENTS:
@@ -314,6 +320,8 @@
                 self._start_response(self.attempts[attempt])
             case messages.Forward(data):
                 self._forward(data)
+            case messages.ForwardComment(data):
+                self.work.exchange.send(data)
             case messages.Finish():
                 self.work.exchange.finish()
                 self._finish('complete')
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -132,6 +132,10 @@
                 return self._head_received(attempt, accepted, now_ms)
             case messages.EventReceived(attempt, index, data):
                 return self._event_received(attempt, index, data, now_ms)
+            case messages.CommentReceived(attempt, data):
+                if self.run is None or attempt != self.run.attempt:
+                    return []
+                return [messages.ForwardComment(data)]
             case messages.AnswerCompleted(attempt):
                 return self._answer_completed(attempt)
             case messages.AttemptBroken(attempt, may_have_sent):
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -17,6 +17,7 @@
     'Fail',
     'Finish',
     'Forward',
+    'ForwardComment',
     'HeadReceived',
     'CopyMemory',
     'CopyEnded',
@@ -24,6 +25,7 @@
     'Place',
     'PlaceCopy',
     'Placed',
+    'CommentReceived',
     'EventReceived',
     'Refused',
     'Send',
@@ -102,6 +104,14 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommentReceived:
+    """A comment was received, which is no progress of the stream."""
+
+    attempt: int
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerCompleted:
     """An attempt's answer is complete."""
@@ -166,6 +176,7 @@
     | Refused
     | HeadReceived
     | EventReceived
+    | CommentReceived
     | AnswerCompleted
     | AttemptBroken
     | NotRun
@@ -250,6 +261,13 @@
     data: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardComment:
+    """Forward a comment to the caller."""
+
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finish:
     """End the caller's answer as complete."""
@@ -283,6 +301,7 @@
     | CopyMemory
     | StartAnswer
     | Forward
+    | ForwardComment
     | Finish
     | AbortAnswer
     | Fail
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -17,6 +17,7 @@
 ENDLESS_BLOCK_BYTES = 65_536
 ENDLESS_PAUSE_S = 0.001
 SLOW_PAUSE_S = 0.05
+COMMENT_PAUSE_S = 0.1
 LARGE_BODY_BYTES = 2_097_152
 OTHER_REQUEST = 'another-request'
 
@@ -64,6 +65,12 @@
     _send_events(handler, request, 40)
 
 
+def _stalled_stream(handler: users_http.Handler, request: str) -> None:
+    """Send some events, then only comments."""
+    _send_events(handler, request, EVENTS_BEFORE_FAULT)
+    _send_without_end(handler, b': still here\n\n', COMMENT_PAUSE_S)
+
+
 def _cut_event(handler: users_http.Handler, request: str) -> None:
     _send_events(handler, request, EVENTS_BEFORE_FAULT)
     handler.wfile.write(b'id: 6\ndata: partial')
@@ -162,5 +169,6 @@
     'endless_success': _endless_success,
     'reset_call': _reset_call,
     'reset_stream': _reset_stream,
+    'stalled_stream': _stalled_stream,
     'unframed_stream': _unframed_stream,
 }
--- a/tests/forwarding/whole_path.feature
+++ b/tests/forwarding/whole_path.feature
@@ -150,3 +150,9 @@
   Scenario: a VM without a state is not ready and answers 503 at once
     Given the store is unavailable and a second VM is started
     Then a booking there is refused with 503, the outcome not_run and no state
+
+  # Guards against a stalled engine that keeps its stream alive by comments.
+  Scenario: a stream whose engine sends only comments is resumed
+    Given the next response of each engine is stalled_stream
+    When a stream is read and the other engine is sound after 5 events
+    Then all 40 events come once and in order and it has run once
--- a/tests/steps/forwarding_whole_path.py
+++ b/tests/steps/forwarding_whole_path.py
@@ -535,3 +535,14 @@
     error = json.loads(answer.body)['error']
     assert error['outcome'] == 'not_run' and error['code'] == 'no_state'
     assert not context.second.is_ready()
+
+
+@behave.when(
+    'a stream is read and the other engine is sound after {count:d} events'
+)
+def stream_and_recover(context, count):
+    def clear_faults(*_):
+        for engine in context.engines:
+            engine.faults.clear()
+
+    context.answer = _read_stream(context, count, clear_faults).read()
