Logs: lines on the end of a process are never left out

At over 400 lines a second the writer leaves out ordinary lines, and the lines that say that a process drains and has stopped were ordinary.

Change: lines on the start and the end of a process, and on its readiness, are written beyond the rate limit. There are a few of them in the life of a process.

Test: the new scenario of logs.feature fails without the change.

--- a/eelgrassknot/log_writer.py
+++ b/eelgrassknot/log_writer.py
@@ -1,11 +1,13 @@
 """Non-blocking log stream with a rate limit and a writer thread.
 
 A reader that stalls never blocks the callers. Lines are dropped if the
-queue is full, and ordinary lines also if they exceed the rate limit. A log
-line reports the number of dropped lines.
+queue is full, and ordinary lines also if they exceed the rate limit. Lines
+on the start and the end of a process are not ordinary. A log line reports
+the number of dropped lines.
 """
 
 import queue
+import re
 import threading
 import time
 import typing
@@ -17,6 +19,9 @@
 """Queue capacity reserved for lines that are not ordinary."""
 RATE_WINDOW_S = 1.0
 _ORDINARY = 'level=INFO'
+_LIFECYCLE = re.compile(
+    r'event=(started|ready|not_ready|draining|drained|stopped)\b'
+)
 
 
 class LogWriter:
@@ -60,7 +65,7 @@
 
     def write(self, text: str) -> int:
         """Queue a line; drop it if there are too many."""
-        ordinary = _ORDINARY in text
+        ordinary = _ORDINARY in text and not _LIFECYCLE.search(text)
         with self.lock:
             second = int(self.clock() / RATE_WINDOW_S)
             if second != self.current_second:
--- a/tests/logs.feature
+++ b/tests/logs.feature
@@ -22,3 +22,9 @@
     Given a log writer limited to 100 lines a second
     When 500 ordinary lines and 20 warnings are logged in one second
     Then 100 ordinary lines, 20 warnings and one count of 400 are written
+
+  # Guards against a log that does not say how a process under load ended.
+  Scenario: lines on the end of a process are written beyond the rate limit
+    Given a log writer limited to 100 lines a second
+    When 500 ordinary lines and the end of a process are logged in one second
+    Then the lines on the end are written
--- a/tests/steps/logs.py
+++ b/tests/steps/logs.py
@@ -83,3 +83,21 @@
     assert text.count('level=INFO') == ordinary, text.count('level=INFO')
     assert text.count('level=WARNING n=') == warnings
     assert text.count(f'event=lines_left_out count={count}\n') == 1
+
+
+@behave.when(
+    '500 ordinary lines and the end of a process are logged in one second'
+)
+def process_ends(context):
+    for number in range(500):
+        context.writer.write(f'level=INFO event=call_ended number={number}\n')
+    for name in ('draining', 'drained', 'stopped'):
+        context.writer.write(f'level=INFO event={name} vm=a\n')
+    context.writer.close()
+
+
+@behave.then('the lines on the end are written')
+def end_is_written(context):
+    written = context.stream.getvalue()
+    for name in ('draining', 'drained', 'stopped'):
+        assert f'event={name} ' in written, written[-500:]
