Outages: a VM that hears of the upstreams from peers notices them too

What could happen: entries of live upstreams expire while the store is away, and come back within 2 s. A VM that watches the store keeps them for that time. A VM that gets the table from a peer did not know of the outage: it dropped them at once, took their running work to other engines or, without a copy, gave it up.

Change: if a peer's copy of the upstreams is newer by more than an upstream may go without a heartbeat, nobody has read the table meanwhile, and entries that are missing from it are kept like after an outage.

Test: the first of three new scenarios failed before; the others show that an upstream that left is still dropped at once.

--- a/eelgrassknot/forwarding/replicated_state.py
+++ b/eelgrassknot/forwarding/replicated_state.py
@@ -51,6 +51,9 @@
 STARTUP_GRACE_MS = 1_000.0
 """Time after the start before a VM watches the tables it has read, unless
 its peers already do; ms. Peers are discovered within this time."""
+LAPSE_HEARTBEATS = 3
+"""Number of missed heartbeats after which the entry of an upstream
+expires."""
 POLL_INTERVAL_MS = 250.0
 """Interval at which timeouts of the directory are checked; ms."""
 
@@ -353,6 +356,7 @@
             watermark = table_replica.Watermark(
                 remote.version, remote.changed, remote.store_ms
             )
+            self._detect_outage(remote.table, watermark.store_ms)
             if table.replica.confirm(watermark):
                 self._apply(remote.table, None)
             elif not table.fetching:
@@ -397,11 +401,25 @@
         logs.event(
             'table_from_peer', table=watermark.table, version=watermark.version
         )
+        self._detect_outage(watermark.table, watermark.store_ms)
         self._apply(
             watermark.table,
             table.replica.apply_snapshot(page, watermark.changed),
         )
 
+    def _detect_outage(self, name: str, store_ms: float) -> None:
+        """Record an outage of the store that only peers have noticed.
+
+        Entries can expire in it only if nobody has read their table for as
+        long as an upstream may go without a heartbeat.
+        """
+        if name != self.dialect.upstreams_table:
+            return
+        known = self.tables[name].replica.watermark
+        lapse_ms = LAPSE_HEARTBEATS * self.settings.heartbeat_ms
+        if known is not None and store_ms - known.store_ms > lapse_ms:
+            self.directory.record_store_recovery(self.loop.now_ms())
+
     def _serve_fetch(
         self, _vm: ids.VmId, query: messages.RowsFetch
     ) -> messages.RowsReply:
--- a/tests/forwarding/peers.feature
+++ b/tests/forwarding/peers.feature
@@ -67,3 +67,22 @@
     Given a zone of 10 VMs that start and read a table at 10000 ms
     Then 0 of them watch it at 10900 ms
     And 1 of them watches it at 11100 ms
+
+  # Guards against running work that is moved because a VM did not notice the
+  # outage in which the entries of live upstreams expired.
+  Scenario: a VM that hears of a table only from peers notices an outage of the store
+    Given a VM that has the upstream u1 from a peer as of 1000 ms
+    When a peer hands over a table without u1 as of 6000 ms
+    Then u1 is listed for another 2000 ms
+    And it is gone after another 500 ms
+
+  Scenario: a VM that hears of a table only from peers drops an upstream that left
+    Given a VM that has the upstream u1 from a peer as of 1000 ms
+    When a peer hands over a table without u1 as of 1500 ms
+    Then u1 is not listed
+
+  Scenario: a table that changes rarely does not look like an outage of the store
+    Given a VM that has the upstream u1 from a peer as of 1000 ms
+    When a peer confirms the table eelgrassknot-crashes after 5000 ms
+    And a peer hands over a table without u1 as of 4000 ms
+    Then u1 is not listed
--- a/tests/steps/forwarding_peers.py
+++ b/tests/steps/forwarding_peers.py
@@ -1,12 +1,15 @@
 """Steps for the discovery of peers and the exchange of their load."""
 
+import concurrent.futures
 import random
+import zlib
 
 import behave
 import msgspec
 import result
 
 from eelgrassknot import clock as clocks
+from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import peer_discovery
 from eelgrassknot.forwarding import peer_membership
@@ -269,3 +272,69 @@
 @behave.then('it is linked only to b')
 def linked_to_b(context):
     assert list(context.discovery.link.addresses) == ['b']
+
+
+def _hand_over(context, rows, version, store_ms):
+    """Have a peer reply with a table as of a time of the store."""
+    context.loop.run_until(store_ms)
+    entries = [messages.RowEntry(key, value, 1) for key, value in rows]
+    mark = messages.TableMark('servers', version, version, store_ms)
+    done = concurrent.futures.Future()
+    done.set_result(
+        messages.RowsReply(
+            mark, zlib.compress(msgspec.msgpack.encode(entries))
+        )
+    )
+    context.state._receive_reply(done)
+
+
+@behave.given(
+    'a VM that has the upstream {name:w} from a peer as of {now:d} ms'
+)
+def vm_with_upstream(context, name, now):
+    registry.load_plugins('eelgrassknot.platform')
+    context.loop = peer_world.SimulatedLoop()
+    context.state = _create_state('vm-0', [], context.loop)
+    context.state.store_clock.observe(now, now, now)
+    entry = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'state': 'ready',
+    }
+    _hand_over(context, [(name, msgspec.json.encode(entry))], 1, now)
+    assert name in context.state.directory.upstreams
+
+
+@behave.when('a peer hands over a table without {name:w} as of {now:d} ms')
+def table_without(context, name, now):
+    _hand_over(context, [], 2, now)
+
+
+def _listed(context, passed):
+    context.loop.run_until(context.loop.now_ms() + passed)
+    context.state.directory.expire(context.loop.now_ms())
+    return context.state.directory.upstreams
+
+
+@behave.then('{name:w} is listed for another {passed:d} ms')
+def listed_for(context, name, passed):
+    assert name in _listed(context, passed)
+
+
+@behave.then('it is gone after another {passed:d} ms')
+def gone_after(context, passed):
+    assert not _listed(context, passed)
+
+
+@behave.then('{name:w} is not listed')
+def not_listed(context, name):
+    assert name not in context.state.directory.upstreams
+
+
+@behave.when('a peer confirms the table {table} after {passed:d} ms')
+def table_confirmed(context, table, passed):
+    replica = context.state.tables[table].replica
+    replica.apply_snapshot(row_store.RowPage((), 1, 0.0), 1)
+    mark = messages.TableMark(table, 1, 1, float(passed))
+    context.state._receive_watermarks('vm-1', (mark,))
