Limits: a limit belongs to the process of an upstream that is listed

What could happen: an upstream with a limit restarts and its clock was set back meanwhile. Its limit stayed in force, and what it stated afterwards was ignored. Or it restarts without a limit, and a peer that has not heard of it tells of the limit of the earlier process, which then stays.

Change: starts are compared for equality with the entry that is listed, not for their order; readings of any other process are ignored.

Tests: the two new scenarios failed before.

--- a/eelgrassknot/policy/upstream_limits.py
+++ b/eelgrassknot/policy/upstream_limits.py
@@ -57,6 +57,11 @@
 class LimitTable:
     """The newest reading of each upstream that has stated a limit.
 
+    Attributes:
+        readings: The newest reading of each upstream.
+        started_at_ms: Start of the process of each listed upstream.
+        unlisted_ms: Since when upstreams with a limit have not been listed.
+
     Example:
         >>> table = LimitTable()
         >>> table.update(LimitReading('a', 1, 2.5, 0.0))
@@ -71,6 +76,7 @@
 
     def __init__(self) -> None:
         self.readings: dict[ids.UpstreamId, LimitReading] = {}
+        self.started_at_ms: dict[ids.UpstreamId, int] = {}
         self.unlisted_ms: dict[ids.UpstreamId, float] = {}
 
     @property
@@ -86,17 +92,17 @@
         return None if reading is None else reading.per_s
 
     def update(self, reading: LimitReading) -> LimitChange:
-        """Apply a reading unless a newer one is known."""
+        """Apply a reading unless it is outdated."""
+        started = self.started_at_ms.get(reading.upstream)
+        if started is not None and started != reading.started_at_ms:
+            return LimitChange.NONE
         known = self.readings.get(reading.upstream)
         if known is None:
             if reading.per_s is None:
                 return LimitChange.NONE
             self.readings[reading.upstream] = reading
             return LimitChange.STATED
-        if reading.started_at_ms < known.started_at_ms or (
-            reading.started_at_ms == known.started_at_ms
-            and reading.read_ms <= known.read_ms
-        ):
+        if reading.read_ms <= known.read_ms:
             return LimitChange.NONE
         self.readings[reading.upstream] = reading
         if reading.per_s == known.per_s:
@@ -118,11 +124,12 @@
             started_at_ms: Start of the process of each listed upstream.
             now_ms: The present time.
         """
+        self.started_at_ms = dict(started_at_ms)
         for upstream, reading in list(self.readings.items()):
             started = started_at_ms.get(upstream)
             if started is not None:
                 self.unlisted_ms.pop(upstream, None)
-                is_past = started > reading.started_at_ms
+                is_past = started != reading.started_at_ms
             else:
                 since_ms = self.unlisted_ms.setdefault(upstream, now_ms)
                 is_past = now_ms - since_ms > UNLISTED_TTL_MS
--- a/tests/policy/upstream_limits.feature
+++ b/tests/policy/upstream_limits.feature
@@ -72,3 +72,19 @@
     Given the upstreams "a b c" with the permit waits "500 none none"
     When the upstream "c" fails 3 times by responses
     Then 20 calls that can wait 200 ms go to "b"
+
+  # Guards against the limit of a process that has ended, told by a peer that
+  # has not heard of the restart.
+  Scenario: the limit of an earlier process is not learnt from a peer
+    Given an upstream that stated a limit of 2.0 at 0 ms
+    When it is listed with another start at 10 ms
+    And it states a limit of 2.0 at 20 ms
+    Then it has no limit and the change is none
+
+  # Guards against a clock that was set back when the upstream restarted.
+  Scenario: an upstream whose clock was set back states a limit again
+    Given an upstream that stated a limit of 2.0 at 0 ms
+    When it is listed with an earlier start at 10 ms
+    Then it has no limit
+    When its new process states a limit of 3.0 at 20 ms
+    Then its limit is 3.0 and the change is stated
--- a/tests/steps/policy_upstream_limits.py
+++ b/tests/steps/policy_upstream_limits.py
@@ -220,3 +220,17 @@
 def fails_without_response(context, name, count):
     for _ in range(count):
         context.pool.health_tracker.record_failure(name, 0.0)
+
+
+@behave.when('it is listed with an earlier start at {now:d} ms')
+def restarted_earlier(context, now):
+    context.limits.update_listed({UPSTREAM: STARTED_AT_MS - 1}, float(now))
+
+
+@behave.when('its new process states a limit of {per_s:f} at {now:d} ms')
+def new_process_states(context, per_s, now):
+    context.change = context.limits.update(
+        upstream_limits.LimitReading(
+            UPSTREAM, STARTED_AT_MS - 1, per_s, float(now)
+        )
+    )
