--- /dev/null
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -0,0 +1,138 @@
+"""Response to one attempt of a stream: its head, events and end."""
+
+import typing
+
+from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import send_permits
+from eelgrassknot.forwarding import sse
+from eelgrassknot.forwarding import upstream_connection
+from eelgrassknot.requests import stream_messages as messages
+
+if typing.TYPE_CHECKING:
+    from eelgrassknot.forwarding import stream_driver
+
+__all__ = ['StreamAttempt']
+
+SUCCESS_STATUSES = range(200, 300)
+SURVIVAL_EVENTS = 2
+"""Number of events after which a prompt has not crashed its engine. The
+first one may have been produced before the crash."""
+
+
+class StreamAttempt(upstream_connection.AttemptListener):
+    """Reports the response to one attempt to the driver.
+
+    Attributes:
+        status: Status of the response, or 0 before its head.
+        events: Number of complete events received.
+        head_ms: When the head was received, or None.
+        first_event_ms: When the first event was received, or None.
+    """
+
+    def __init__(
+        self, driver: 'stream_driver.StreamDriver', send: messages.Send
+    ) -> None:
+        self.driver = driver
+        self.number = send.attempt
+        self.upstream = send.upstream
+        self.copy: model.Upstream | None = None
+        self.splitter = sse.EventSplitter()
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.buffered_body: bytearray | None = None
+        self.upstream_attempt: upstream_connection.Attempt | None = None
+        self.permit: send_permits.PendingPermit | None = None
+        self.events = 0
+        self.head_ms: float | None = None
+        self.first_event_ms: float | None = None
+
+    def response_started(
+        self,
+        attempt: upstream_connection.Attempt,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """Store the head and start a signed successful response."""
+        self.status = status
+        self.headers = headers
+        self.head_ms = self.driver.now_ms()
+        self.driver.context.limits.response_started(
+            self.upstream, status, headers
+        )
+        is_signed = self.driver.context.dialect.is_signed(headers)
+        if status in SUCCESS_STATUSES and is_signed:
+            self.driver.dispatch(messages.HeadReceived(self.number, True))
+        else:
+            # Buffered, because it may not come from the upstream.
+            self.buffered_body = bytearray()
+
+    def response_data(
+        self, attempt: upstream_connection.Attempt, data: bytes
+    ) -> None:
+        """Parse or buffer a part of the body."""
+        if self.buffered_body is not None:
+            self.buffered_body += data
+            buffered = len(self.buffered_body)
+        else:
+            for event in self.splitter.feed(data):
+                self._handle_event(event)
+            buffered = len(self.splitter.pending)
+        if buffered > upstream_connection.MAX_BUFFERED_BYTES:
+            attempt.reject('a failure or an event is too large')
+
+    def response_completed(self, attempt: upstream_connection.Attempt) -> None:
+        """Handle the end of the response."""
+        if self.buffered_body is not None:
+            self.driver.handle_unsuccessful_response(self)
+            return
+        if self.splitter.is_inside_event:
+            self.attempt_failed(
+                attempt, upstream_connection.Fault.BROKEN, True
+            )
+            return
+        if self.splitter.pending:
+            self.driver.event_received(
+                self, None, bytes(self.splitter.pending)
+            )
+        if self.events < SURVIVAL_EVENTS:
+            self.driver.report_survival()
+        self.driver.record_success(self)
+        self.driver.dispatch(messages.AnswerCompleted(self.number))
+
+    def attempt_failed(
+        self,
+        attempt: upstream_connection.Attempt,
+        fault: upstream_connection.Fault,
+        bytes_left: bool,
+    ) -> None:
+        """Handle a response that broke off."""
+        if self._began_answer and self.events < SURVIVAL_EVENTS:
+            self.driver.report_crash(self)
+        self.driver.handle_broken_attempt(self, fault, bytes_left)
+
+    def cancel(self) -> None:
+        """Abort the attempt, or do not start it."""
+        if self.permit is not None:
+            self.permit.cancel()
+        if self.upstream_attempt is not None:
+            self.upstream_attempt.cancel()
+
+    @property
+    def _began_answer(self) -> bool:
+        """Whether the head of a signed successful response was received."""
+        return self.head_ms is not None and self.buffered_body is None
+
+    def _handle_event(self, event: bytes) -> None:
+        if sse.is_comment(event):
+            # Engines that have stalled may still send comments.
+            self.driver.dispatch(messages.CommentReceived(self.number, event))
+            return
+        self._record_event()
+        self.driver.event_received(self, sse.event_index(event), event)
+
+    def _record_event(self) -> None:
+        self.events += 1
+        if self.events == SURVIVAL_EVENTS:
+            self.driver.report_survival()
+        if self.first_event_ms is None:
+            self.first_event_ms = self.driver.now_ms()
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -1,4 +1,4 @@
-"""Driver of a stream: sends it, parses events, transfers runs, responds."""
+"""Driver of a stream: places and sends it, transfers runs, responds."""
 
 import functools
 
@@ -11,7 +11,7 @@
 from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import send_permits
-from eelgrassknot.forwarding import sse
+from eelgrassknot.forwarding import stream_attempt
 from eelgrassknot.forwarding import upstream_connection
 from eelgrassknot.forwarding import work as works
 from eelgrassknot import ids
@@ -33,127 +33,6 @@
 MAX_PERMIT_WAIT_MS = 250.0
 """Longest wait for the permit of one engine; ms. Meanwhile another engine
 may get room."""
-SUCCESS_STATUSES = range(200, 300)
-SURVIVAL_EVENTS = 2
-"""Number of events after which a prompt has not crashed its engine. The
-first one may have been produced before the crash."""
-
-
-class _StreamAttempt(upstream_connection.AttemptListener):
-    """Reports the response to one attempt to the driver.
-
-    Attributes:
-        status: Status of the response, or 0 before its head.
-        events: Number of complete events received.
-        head_ms: When the head was received, or None.
-        first_event_ms: When the first event was received, or None.
-    """
-
-    def __init__(self, driver: 'StreamDriver', send: messages.Send) -> None:
-        self.driver = driver
-        self.number = send.attempt
-        self.upstream = send.upstream
-        self.copy: model.Upstream | None = None
-        self.splitter = sse.EventSplitter()
-        self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.buffered_body: bytearray | None = None
-        self.upstream_attempt: upstream_connection.Attempt | None = None
-        self.permit: send_permits.PendingPermit | None = None
-        self.events = 0
-        self.head_ms: float | None = None
-        self.first_event_ms: float | None = None
-
-    def response_started(
-        self,
-        attempt: upstream_connection.Attempt,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-    ) -> None:
-        """Store the head and start a signed successful response."""
-        self.status = status
-        self.headers = headers
-        self.head_ms = self.driver.now_ms()
-        self.driver.context.limits.response_started(
-            self.upstream, status, headers
-        )
-        is_signed = self.driver.context.dialect.is_signed(headers)
-        if status in SUCCESS_STATUSES and is_signed:
-            self.driver.dispatch(messages.HeadReceived(self.number, True))
-        else:
-            # Buffered, because it may not come from the upstream.
-            self.buffered_body = bytearray()
-
-    def response_data(
-        self, attempt: upstream_connection.Attempt, data: bytes
-    ) -> None:
-        """Parse or buffer a part of the body."""
-        if self.buffered_body is not None:
-            self.buffered_body += data
-            buffered = len(self.buffered_body)
-        else:
-            for event in self.splitter.feed(data):
-                self._handle_event(event)
-            buffered = len(self.splitter.pending)
-        if buffered > upstream_connection.MAX_BUFFERED_BYTES:
-            attempt.reject('a failure or an event is too large')
-
-    def response_completed(self, attempt: upstream_connection.Attempt) -> None:
-        """Handle the end of the response."""
-        if self.buffered_body is not None:
-            self.driver.handle_unsuccessful_response(self)
-            return
-        if self.splitter.is_inside_event:
-            self.attempt_failed(
-                attempt, upstream_connection.Fault.BROKEN, True
-            )
-            return
-        if self.splitter.pending:
-            self.driver.event_received(
-                self, None, bytes(self.splitter.pending)
-            )
-        if self.events < SURVIVAL_EVENTS:
-            self.driver.report_survival()
-        self.driver.record_success(self)
-        self.driver.dispatch(messages.AnswerCompleted(self.number))
-
-    def attempt_failed(
-        self,
-        attempt: upstream_connection.Attempt,
-        fault: upstream_connection.Fault,
-        bytes_left: bool,
-    ) -> None:
-        """Handle a response that broke off."""
-        if self._began_answer and self.events < SURVIVAL_EVENTS:
-            self.driver.report_crash(self)
-        self.driver.handle_broken_attempt(self, fault, bytes_left)
-
-    def cancel(self) -> None:
-        """Abort the attempt, or do not start it."""
-        if self.permit is not None:
-            self.permit.cancel()
-        if self.upstream_attempt is not None:
-            self.upstream_attempt.cancel()
-
-    @property
-    def _began_answer(self) -> bool:
-        """Whether the head of a signed successful response was received."""
-        return self.head_ms is not None and self.buffered_body is None
-
-    def _handle_event(self, event: bytes) -> None:
-        if sse.is_comment(event):
-            # Engines that have stalled may still send comments.
-            self.driver.dispatch(messages.CommentReceived(self.number, event))
-            return
-        self._record_event()
-        self.driver.event_received(self, sse.event_index(event), event)
-
-    def _record_event(self) -> None:
-        self.events += 1
-        if self.events == SURVIVAL_EVENTS:
-            self.driver.report_survival()
-        if self.first_event_ms is None:
-            self.first_event_ms = self.driver.now_ms()
 
 
 class StreamDriver(machine_driver.MachineDriver):
@@ -182,7 +61,7 @@
             work.headers.last_event,
         )
         super().__init__(context, work, machine)
-        self.attempts: dict[int, _StreamAttempt] = {}
+        self.attempts: dict[int, stream_attempt.StreamAttempt] = {}
         self.first_event_ms: float | None = None
         self.largest_gap_ms = 0.0
         self.last_event_ms = work.started_ms
@@ -246,12 +125,17 @@
         self.schedule_timeout()
 
     def event_received(
-        self, attempt: _StreamAttempt, index: int | None, data: bytes
+        self,
+        attempt: stream_attempt.StreamAttempt,
+        index: int | None,
+        data: bytes,
     ) -> None:
         """Handle a complete event of the stream."""
         self.dispatch(messages.EventReceived(attempt.number, index, data))
 
-    def handle_unsuccessful_response(self, attempt: _StreamAttempt) -> None:
+    def handle_unsuccessful_response(
+        self, attempt: stream_attempt.StreamAttempt
+    ) -> None:
         """Handle a complete response that is not a signed success."""
         if self.context.dialect.declares_not_executed(
             attempt.status, attempt.headers
@@ -272,7 +156,7 @@
 
     def handle_broken_attempt(
         self,
-        attempt: _StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         fault: upstream_connection.Fault,
         bytes_left: bool,
     ) -> None:
@@ -283,7 +167,7 @@
         self._log_attempt(attempt, fault.value)
         self.dispatch(messages.AttemptBroken(attempt.number, bytes_left))
 
-    def report_crash(self, attempt: _StreamAttempt) -> None:
+    def report_crash(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Report that an engine broke off at the start of its answer."""
         if self.shared_parts:
             upstream = attempt.upstream
@@ -298,7 +182,7 @@
         if self.shared_parts:
             self.context.crash_reports.report_survival(self.shared_parts)
 
-    def record_success(self, attempt: _StreamAttempt) -> None:
+    def record_success(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Record a complete response in the upstream's health."""
         self.context.health.record_success(attempt.upstream.upstream)
 
@@ -424,7 +308,7 @@
             return
         if send.is_repeat:
             self.context.budget(self.work.service.name).spend()
-        attempt = _StreamAttempt(self, send)
+        attempt = stream_attempt.StreamAttempt(self, send)
         self.attempts[send.attempt] = attempt
         commitment = self.context.scheduler.commitment(self.work.request)
         if commitment is not None:
@@ -474,7 +358,7 @@
 
     def _continuation_answered(
         self,
-        attempt: _StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         send: messages.Send,
         found: permit_policy.Grant | permit_policy.Denial,
     ) -> None:
@@ -489,7 +373,7 @@
 
     def _send_attempt(
         self,
-        attempt: _StreamAttempt,
+        attempt: stream_attempt.StreamAttempt,
         send: messages.Send,
         purpose: limit_monitor.Purpose,
     ) -> None:
@@ -506,7 +390,10 @@
         )
 
     def _metadata(
-        self, send: messages.Send, attempt: _StreamAttempt, left_ms: float
+        self,
+        send: messages.Send,
+        attempt: stream_attempt.StreamAttempt,
+        left_ms: float,
     ) -> dialect.ForwardingMetadata:
         return dialect.ForwardingMetadata(
             send.upstream.upstream,
@@ -557,7 +444,7 @@
         metrics.COPIES.labels(outcome).inc()
         self.dispatch(messages.CopyEnded(plan.target, handle))
 
-    def _start_response(self, attempt: _StreamAttempt) -> None:
+    def _start_response(self, attempt: stream_attempt.StreamAttempt) -> None:
         headers = self.context.dialect.response_headers(attempt.headers)
         if attempt.buffered_body is not None:
             self.work.exchange.respond(
@@ -633,7 +520,9 @@
             total_ms=round(self.now_ms() - self.work.started_ms, 1),
         )
 
-    def _log_attempt(self, attempt: _StreamAttempt, fault: str) -> None:
+    def _log_attempt(
+        self, attempt: stream_attempt.StreamAttempt, fault: str
+    ) -> None:
         metrics.ATTEMPT_FAULTS.labels(fault).inc()
         logs.event(
             'attempt_failed',
