Soak: servers state request limits, and a checker for them

A fault of the soak makes a server state a limit or withdraw it; limits_are_kept judges every 4 s from 4 s after the first statement, without the requests of VMs that were signalled or started in it or in the 4 s before.

--- a/standins/entry_checks.py
+++ b/standins/entry_checks.py
@@ -10,6 +10,11 @@
 
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 STREAM_EVENTS = 40
+LIMIT_WINDOW_S = 4.0
+LIMIT_CONTACT_S = 4.0
+"""Time after its first statement from which a limit must be kept; s."""
+LIMIT_TOLERATED_SHARE = 1.5
+LIMIT_TOLERATED_EXTRA = 5
 TRANSIT_TOLERANCE_S = 0.3
 """Allowance for the delay between sending and receiving a request, in s."""
 
@@ -37,6 +42,22 @@
     body: bytes = b''
 
 
+@dataclasses.dataclass
+class StatedLimit:
+    """A request limit that a server stated for a time.
+
+    Attributes:
+        per_s: Requests per second from all VMs together.
+        from_s: Time of the first statement on the monotonic clock, in s.
+        until_s: Time of the withdrawal.
+    """
+
+    server: str
+    per_s: float
+    from_s: float
+    until_s: float = float('inf')
+
+
 @dataclasses.dataclass
 class Record:
     """Observations of a round.
@@ -45,6 +66,8 @@
         runs: Server and time of each execution of a request.
         revoked_s: Time at which each key was revoked.
         bound_s: How long a VM may still accept a revoked key.
+        limits: Limits that servers stated.
+        disturbed: VMs that were signalled or started, with the time.
         ended: Processes that exited unexpectedly.
         unserved: VMs that did not recover after the faults.
     """
@@ -55,6 +78,10 @@
     )
     revoked_s: dict[str, float] = dataclasses.field(default_factory=dict)
     bound_s: float = 2.0
+    limits: list[StatedLimit] = dataclasses.field(default_factory=list)
+    disturbed: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
     ended: list[str] = dataclasses.field(default_factory=list)
     unserved: list[str] = dataclasses.field(default_factory=list)
 
@@ -130,6 +157,47 @@
     yield from record.ended
 
 
+def limits_are_kept(record: Record) -> Violations:
+    """Find servers that got more requests than their limit tolerates.
+
+    Requests of VMs that were disturbed shortly before or within a window do
+    not count.
+    """
+    vm_of = {call.request: call.vm for call in record.calls}
+    for limit in record.limits:
+        arrivals = sorted(
+            (at_s, vm_of[request])
+            for request, runs in record.runs.items()
+            for server, at_s in runs
+            if server == limit.server and request in vm_of
+        )
+        tolerated = (
+            LIMIT_TOLERATED_SHARE * LIMIT_WINDOW_S * limit.per_s
+            + LIMIT_TOLERATED_EXTRA
+        )
+        for start_s, _ in arrivals:
+            end_s = start_s + LIMIT_WINDOW_S
+            if start_s < limit.from_s + LIMIT_CONTACT_S:
+                continue
+            if end_s > limit.until_s:
+                break
+            excused = {
+                vm
+                for vm, at_s in record.disturbed
+                if start_s - LIMIT_CONTACT_S <= at_s < end_s
+            }
+            count = sum(
+                start_s <= at_s < end_s and vm not in excused
+                for at_s, vm in arrivals
+            )
+            if count > tolerated:
+                yield (
+                    f'{limit.server} got {count} requests in 4 s at a limit '
+                    f'of {limit.per_s:.1f}'
+                )
+                break
+
+
 def all_recover(record: Record) -> Violations:
     """Find VMs that did not recover."""
     yield from record.unserved
@@ -143,6 +211,7 @@
         answers_are_own,
         streams_are_in_order,
         revoked_keys_open_nothing,
+        limits_are_kept,
         nobody_ends_by_itself,
         all_recover,
     )
--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -123,6 +123,7 @@
             (3, self.change_servers),
             (2, self.fail_requests),
             (2, self.change_keys),
+            (2, self.change_limit),
         )
         weights = [weight for weight, _ in faults]
         ((_, fault),) = self.generator.choices(faults, weights)
@@ -137,10 +138,20 @@
 
     def pause_vm(self):
         """Pause a VM and resume it later."""
-        process = self.entries[self.generator.choice(self.names)].process
+        vm = self.generator.choice(self.names)
+        process = self.entries[vm].process
+        self.disturb(vm)
         process.send_signal(signal.SIGSTOP)
-        delay_s = self.generator.uniform(0.1, 3.0)
-        self.schedule(delay_s, lambda: process.send_signal(signal.SIGCONT))
+
+        def resume():
+            self.disturb(vm)
+            process.send_signal(signal.SIGCONT)
+
+        self.schedule(self.generator.uniform(0.1, 3.0), resume)
+
+    def disturb(self, vm):
+        """Record that a VM was signalled or started."""
+        self.record.disturbed.append((vm, time.monotonic()))
 
     def kill_vm(self):
         """Kill a VM and restart it."""
@@ -157,12 +168,14 @@
         if old.process in self.signalled:
             return
         self.signalled.add(old.process)
+        self.disturb(vm)
         old.process.send_signal(signal.SIGCONT)
         old.process.send_signal(number)
 
         def restart():
             old.process.wait()
             old.stop()
+            self.disturb(vm)
             self.entries[vm] = self.start_entry(vm)
 
         self.schedule(0.1, restart)
@@ -247,6 +260,26 @@
         if len(state['tenants'][0]['apiKeys']) == 1:
             self.record.revoked_s.setdefault('key-two', time.monotonic())
 
+    def change_limit(self):
+        """Make a server state a request limit, or withdraw it."""
+        name = self.generator.choice(list(self.servers))
+        server = self.servers[name]
+        per_s = self.generator.uniform(1.0, 5.0)
+        if server.limit_per_s is None:
+            server.limit_per_s = per_s
+            self.record.limits.append(
+                entry_checks.StatedLimit(name, per_s, time.monotonic())
+            )
+        else:
+            server.limit_per_s = None
+            self.end_limit(name)
+
+    def end_limit(self, name):
+        """Record that a server no longer states its limit."""
+        for limit in self.record.limits:
+            if limit.server == name:
+                limit.until_s = min(limit.until_s, time.monotonic())
+
     def heal(self):
         """Remove all faults of links and the store."""
         self.restore_store()
@@ -343,6 +376,8 @@
                 self.record.ended.append(f'{vm} exited with {code}')
             entry.stop()
         self.platform.stop()
+        for limit in self.record.limits:
+            self.end_limit(limit.server)
         self.record.runs = dict(self.platform.run_times)
         return entry_checks.check(self.record)
 
--- a/tests/forwarding/soak.feature
+++ b/tests/forwarding/soak.feature
@@ -23,6 +23,7 @@
       | a stream lacks an event and looks complete       | streams_are_in_order      |
       | a stream has an event twice                      | streams_are_in_order      |
       | a booking ran with a key revoked 5 s before      | revoked_keys_open_nothing |
+      | a limited server got 30 requests in 4 s          | limits_are_kept           |
       | a process exited by itself                        | nobody_ends_by_itself     |
       | a VM did not recover                             | all_recover               |
 
--- a/tests/steps/forwarding_soak.py
+++ b/tests/steps/forwarding_soak.py
@@ -75,6 +75,15 @@
         case 'a booking ran with a key revoked 5 s before':
             record.revoked_s['key-two'] = 5.0
             del record.runs['l'], record.runs['w']
+        case 'a limited server got 30 requests in 4 s':
+            record.limits = [entry_checks.StatedLimit('d9', 4.0, 1.0)]
+            for number in range(30):
+                request = f'm{number}'
+                record.calls.append(
+                    _call(request, 'book', f'answer to {request} '.encode())
+                )
+                record.runs[request] = [('d9', 10.0 + number / 10)]
+            record.revoked_s.clear()
         case 'a process exited by itself':
             record.ended.append('vm-1 ended with 1')
         case 'a VM did not recover':
