--- a/tests/entry_soak.py
+++ b/tests/entry_soak.py
@@ -264,7 +264,7 @@
         """Make a server state a request limit, or withdraw it."""
         name = self.generator.choice(list(self.servers))
         server = self.servers[name]
-        per_s = self.generator.uniform(1.0, 5.0)
+        per_s = self.generator.uniform(0.2, 1.0)
         if server.limit_per_s is None:
             server.limit_per_s = per_s
             self.record.limits.append(
