--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -254,6 +254,8 @@
             does not know limits.
         newest_state: Highest version of the deployment's state that the
             sender knows of, or None.
+        address: ``IP:port`` on which the sender listens to peers, if it has
+            started recently; empty otherwise.
     """
 
     availability_zone: ids.AvailabilityZoneId
@@ -263,6 +265,7 @@
     calls: tuple[tuple[ids.UpstreamId, int], ...]
     limits: tuple[LimitEntry, ...] | None = None
     newest_state: int | None = None
+    address: str = ''
 
 
 class ZoneNews(msgspec.Struct, array_like=True, tag=15, frozen=True):
--- /dev/null
+++ b/eelgrassknot/decoding.py
@@ -0,0 +1,120 @@
+"""Decoding of documents and addresses that other programs have written.
+
+Nothing that such a document contains may raise anything but the returned
+error, and a decoded number fits into every message to the peers.
+"""
+
+import ipaddress
+import typing
+
+import msgspec
+import result
+
+from eelgrassknot import exceptions
+
+__all__ = [
+    'Int64',
+    'SmallInt',
+    'check_address',
+    'decode_json',
+    'parse_address',
+    'parse_digits',
+]
+
+MAX_REASON_CHARACTERS = 200
+"""Length at which the reason of an error is cut off; documents may be
+large."""
+MAX_PORT = 65_535
+MAX_DIGITS = 18
+"""Number of digits of the longest number that fits into 64 bits with any
+digits."""
+
+Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""An integer that can be encoded in a message to a peer."""
+SmallInt = typing.Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+"""An integer whose sums and products fit into 64 bits."""
+
+Document = typing.TypeVar('Document')
+
+
+def decode_json(
+    document: bytes, kind: type[Document], name: str
+) -> result.Result[Document, exceptions.MalformedAnswerError]:
+    """Decode a JSON document.
+
+    Args:
+        document: The document, which may contain anything.
+        kind: Type to decode it into.
+        name: What the document is, for the error.
+
+    Example:
+        >>> decode_json(b'[1, 2]', list[SmallInt], 'the list').ok_value
+        [1, 2]
+        >>> decode_json(b'[' * 100_000, list[SmallInt], 'the list').is_err()
+        True
+    """
+    try:
+        return result.Ok(msgspec.json.decode(document, type=kind))
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        return result.Err(unreadable(name, str(error)))
+
+
+def unreadable(name: str, reason: str) -> exceptions.MalformedAnswerError:
+    """Return the error for a document that cannot be decoded.
+
+    Args:
+        name: What the document is.
+        reason: Why it cannot be decoded; cut off if it is long.
+    """
+    return exceptions.MalformedAnswerError(
+        f'{name} cannot be decoded: {reason[:MAX_REASON_CHARACTERS]}',
+        'check the program that wrote it',
+    )
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return the host and port of an ``IP:port`` address, or None.
+
+    A host name is rejected, because looking it up would block.
+
+    Example:
+        >>> parse_address('10.0.0.1:80')
+        ('10.0.0.1', 80)
+        >>> parse_address('10.0.0.1:99999') is None
+        True
+    """
+    host, _, port_text = text.rpartition(':')
+    port = parse_digits(port_text)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    if port is None or not 0 < port <= MAX_PORT:
+        return None
+    return host, port
+
+
+def check_address(
+    text: str, name: str
+) -> result.Result[str, exceptions.MalformedAnswerError]:
+    """Return an address unchanged if it is an ``IP:port`` address.
+
+    Args:
+        text: The address.
+        name: What the document with the address is, for the error.
+    """
+    if parse_address(text) is None:
+        return result.Err(unreadable(name, f'no IP:port address: {text!r}'))
+    return result.Ok(text)
+
+
+def parse_digits(text: str) -> int | None:
+    """Return a number written with at most 18 ASCII digits, or None.
+
+    Example:
+        >>> parse_digits('80'), parse_digits('8_0'), parse_digits('-1')
+        (80, None, None)
+    """
+    if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
+        return int(text)
+    return None
--- a/eelgrassknot/forwarding/crash_reports.py
+++ b/eelgrassknot/forwarding/crash_reports.py
@@ -12,8 +12,11 @@
 import random
 
 import msgspec
+import result
 
 from eelgrassknot.coordination import rendezvous
+from eelgrassknot import decoding
+from eelgrassknot import exceptions
 from eelgrassknot.forwarding import access
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import metrics
@@ -255,13 +258,15 @@
         self, rows: collections.abc.Iterable[row_store.StoreRow]
     ) -> None:
         for row in rows:
-            try:
-                found = _decode_row(row)
-            except msgspec.MsgspecError as error:
-                logs.warning('crash_row_unreadable', key=row.key, why=error)
-                continue
-            self.rows[row.key] = found
-            self._receive(found)
+            match _decode_row(row):
+                case result.Ok(found):
+                    self.rows[row.key] = found
+                    self._receive(found)
+                case result.Err(error):
+                    logs.warning(
+                        'crash_row_unreadable', key=row.key, why=str(error)
+                    )
+                    metrics.UNREADABLE_ROWS.inc(CRASHES_TABLE)
         self._changed()
 
     def _receive(self, row: CrashRow | SurvivalRow) -> None:
@@ -470,9 +475,8 @@
     evidence = crash_evidence.CrashEvidence()
     reports = []
     for row in page.rows:
-        try:
-            found = _decode_row(row)
-        except msgspec.MsgspecError:
+        found = _decode_row(row).ok()
+        if found is None:
             # The VMs log why they ignore the row.
             continue
         if _is_expired_at_age(found, page.store_ms - found.store_ms):
@@ -498,8 +502,12 @@
     return {each.parts for each in verdicts if each is not None}
 
 
-def _decode_row(row: row_store.StoreRow) -> CrashRow | SurvivalRow:
-    return msgspec.json.decode(row.value, type=CrashRow | SurvivalRow)
+def _decode_row(
+    row: row_store.StoreRow,
+) -> result.Result[CrashRow | SurvivalRow, exceptions.MalformedAnswerError]:
+    return decoding.decode_json(
+        row.value, CrashRow | SurvivalRow, f'the crash row {row.key}'
+    )
 
 
 def _is_expired_at_age(row: CrashRow | SurvivalRow, age_ms: float) -> bool:
--- a/eelgrassknot/forwarding/load_publisher.py
+++ b/eelgrassknot/forwarding/load_publisher.py
@@ -101,6 +101,7 @@
                 tuple(self.peer_load.running_calls().items()),
                 limits,
                 self.replicated_state.newest_state,
+                self.replicated_state.peers.introduction(),
             )
         )
 
--- a/eelgrassknot/forwarding/metrics.py
+++ b/eelgrassknot/forwarding/metrics.py
@@ -18,6 +18,7 @@
     'STATE_VERSION',
     'STORE_CALLS',
     'TAKEOVERS',
+    'UNREADABLE_ROWS',
     'STREAMS_WAITING',
 ]
 
@@ -74,6 +75,11 @@
     'Calls to the store, by outcome',
     ['outcome'],
 )
+UNREADABLE_ROWS = instruments.Counter(
+    'eelgrassknot_unreadable_rows',
+    'Rows of the store that were left out, by table',
+    ['table'],
+)
 CRASH_REPORTS = instruments.Counter(
     'eelgrassknot_crash_reports',
     'Streams whose engine crashed before their first event, by origin of '
--- a/eelgrassknot/forwarding/peer_discovery.py
+++ b/eelgrassknot/forwarding/peer_discovery.py
@@ -16,6 +16,7 @@
 from eelgrassknot.coordination import peer_codec
 from eelgrassknot.coordination import peer_link
 from eelgrassknot.coordination import peer_messages as messages
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import peer_membership
 from eelgrassknot.forwarding import row_store
 from eelgrassknot import ids
@@ -34,9 +35,12 @@
 """Interval at which the rows of the VMs are read without a request; ms."""
 MIN_READ_INTERVAL_MS = 1_000.0
 """Minimum time between two reads; ms."""
-FIRST_READ_DELAY_MS = 500.0
-"""Delay between writing this VM's row and first reading the others'; ms.
-VMs that start together find each other with a single read."""
+SECOND_READ_DELAY_MS = 5_000.0
+"""Delay between the first two reads; ms. VMs that start together have all
+written their rows by the second one."""
+INTRODUCTION_MS = 15_000.0
+"""How long a VM that has started tells its peers its address; ms. They need
+not read the rows because of its messages."""
 PLAN_INTERVAL_MS = 1_000.0
 """Interval at which the links are planned; ms. A stopped gateway is
 replaced within this time plus the time until it counts as silent."""
@@ -59,6 +63,7 @@
         link: The link, or None until this VM is registered.
         membership: Listed VMs and the planned links.
         secret: Key that signs the messages of this VM.
+        first_read_ms: When the rows of the VMs were first read, or None.
         timeline: Timeline of the store in which this VM's rows were written.
         restored_timeline: Newest timeline in which the tables were read.
     """
@@ -84,6 +89,8 @@
         self.link: peer_link.PeerLink | None = None
         self.codec: peer_codec.PeerCodec | None = None
         self.secret = b''
+        self.linked_ms = float('-inf')
+        self.first_read_ms: float | None = None
         self.timeline = 0
         self.restored_timeline = 0
         self.read_due_ms = 0.0
@@ -111,6 +118,15 @@
         if self.link is not None and vm not in self.membership.listed:
             self.read_requested.set()
 
+    def introduction(self) -> str:
+        """Return this VM's address if its peers may not know it, or ''."""
+        age_ms = self.clock.now_ms() - self.linked_ms
+        return self.row.address if age_ms <= INTRODUCTION_MS else ''
+
+    def introduce(self, vm: ids.VmId, row: peer_membership.VmRow) -> None:
+        """Add a peer that has told its address."""
+        self.membership.add_row(vm, row, self.clock.now_ms())
+
     def restore_rows(self, timeline: int) -> None:
         """Write this VM's rows again in a store that was restored.
 
@@ -185,7 +201,7 @@
 
     def _step(self) -> result.Result[float, row_store.StoreError]:
         if self.link is None:
-            return self._register().map(lambda _: FIRST_READ_DELAY_MS)
+            return self._register().map(lambda _: 0.0)
         page = self.store.read_table(VMS_TABLE)
         if isinstance(page, result.Err):
             return page
@@ -197,9 +213,13 @@
             self.secret = keys.ok_value.rows[0].value
             self.codec.adopt(self.secret)
         processed = self._process_rows(page.ok_value, restored)
-        if processed.is_ok():
-            self.timeline = page.ok_value.timeline
-        return processed.map(lambda _: READ_INTERVAL_MS)
+        if isinstance(processed, result.Err):
+            return processed
+        self.timeline = page.ok_value.timeline
+        if self.first_read_ms is None:
+            self.first_read_ms = self.clock.now_ms()
+            return result.Ok(SECOND_READ_DELAY_MS)
+        return result.Ok(READ_INTERVAL_MS)
 
     def _register(self) -> result.Result[None, row_store.StoreError]:
         keys = self._read_keys(secrets.token_bytes(KEY_BYTES))
@@ -224,6 +244,7 @@
         )
         self.register_handlers(link)
         link.start()
+        self.linked_ms = self.clock.now_ms()
         self.link = link
         return result.Ok(None)
 
@@ -262,12 +283,12 @@
         """
         listed = {}
         for row in page.rows:
-            try:
-                listed[row.key] = msgspec.json.decode(
-                    row.value, type=peer_membership.VmRow
-                )
-            except msgspec.MsgspecError as error:
-                logs.warning('peer_unreadable', vm=row.key, why=str(error))
+            match peer_membership.decode_row(row.key, row.value):
+                case result.Ok(found):
+                    listed[row.key] = found
+                case result.Err(error):
+                    logs.warning('peer_unreadable', vm=row.key, why=str(error))
+                    metrics.UNREADABLE_ROWS.inc(VMS_TABLE)
         self.membership.update_rows(
             listed, self.clock.now_ms(), keep_live=restored
         )
--- a/eelgrassknot/forwarding/peer_membership.py
+++ b/eelgrassknot/forwarding/peer_membership.py
@@ -8,12 +8,15 @@
 import collections.abc
 
 import msgspec
+import result
 
 from eelgrassknot.coordination import links as zone_links
 from eelgrassknot.coordination import rendezvous
+from eelgrassknot import decoding
+from eelgrassknot import exceptions
 from eelgrassknot import ids
 
-__all__ = ['PeerMembership', 'VmRow']
+__all__ = ['PeerMembership', 'VmRow', 'decode_row']
 
 MAX_FULL_MESH_VMS = 16
 """Maximum number of VMs in a full mesh: at 25 messages a second to each
@@ -38,6 +41,23 @@
     availability_zone: ids.AvailabilityZoneId
 
 
+def decode_row(
+    vm: str, value: bytes
+) -> result.Result[VmRow, exceptions.MalformedAnswerError]:
+    """Decode the row of a VM.
+
+    Args:
+        vm: Key of the row.
+        value: JSON document of the row.
+    """
+    name = f'the row of the VM {vm}'
+    return decoding.decode_json(value, VmRow, name).and_then(
+        lambda row: decoding.check_address(row.address, name).map(
+            lambda _: row
+        )
+    )
+
+
 class PeerMembership:
     """The peers of one VM.
 
@@ -94,6 +114,13 @@
         for vm in self.listed:
             self.last_contact_ms.setdefault(vm, now_ms)
 
+    def add_row(self, vm: ids.VmId, row: VmRow, now_ms: float) -> None:
+        """Add or replace the row of a peer."""
+        if vm == self.vm or self.listed.get(vm) == row:
+            return
+        self.listed = {**self.listed, vm: row}
+        self.last_contact_ms.setdefault(vm, now_ms)
+
     def record_contact(self, vm: ids.VmId, now_ms: float) -> None:
         """Record a message from a peer."""
         self.last_contact_ms[vm] = now_ms
--- a/eelgrassknot/forwarding/replicated_state.py
+++ b/eelgrassknot/forwarding/replicated_state.py
@@ -4,7 +4,6 @@
 import concurrent.futures
 import functools
 import random
-import zlib
 
 import msgspec
 import result
@@ -16,8 +15,11 @@
 from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import metrics
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import peer_discovery
+from eelgrassknot.forwarding import peer_membership
+from eelgrassknot.forwarding import peer_rows
 from eelgrassknot.forwarding import row_store
 from eelgrassknot.forwarding import table_replica
 from eelgrassknot.forwarding import table_watch
@@ -48,8 +50,11 @@
 """Rank beyond which the delay no longer grows; the remaining margin is half
 of the smallest bound on revoked keys."""
 STARTUP_GRACE_MS = 1_000.0
-"""Time after the start before a VM watches the tables it has read, unless
-its peers already do; ms. Peers are discovered within this time."""
+"""Time after the discovery of the peers before a VM watches the tables that
+it has read, unless its peers already do; ms."""
+MAX_STARTUP_GRACE_MS = 3_000.0
+"""The same, counted from the start; ms. The keys that were read at the start
+are still current then."""
 LAPSE_HEARTBEATS = 3
 """Number of missed heartbeats after which the entry of an upstream
 expires."""
@@ -196,7 +201,7 @@
             table.watch.start()
         self.peers.start()
         self.crash_reports.start()
-        self.watch_from_ms = self.loop.now_ms() + STARTUP_GRACE_MS
+        self.watch_from_ms = self.loop.now_ms() + MAX_STARTUP_GRACE_MS
         self.loop.call_later(POLL_INTERVAL_MS, self._poll)
 
     def watermarks(self) -> tuple[messages.TableMark, ...]:
@@ -354,7 +359,11 @@
                 case result.Ok(upstream):
                     self.directory.put(upstream, now_ms, changes.restored)
                 case result.Err(error):
-                    logs.warning('entry_unreadable', why=str(error))
+                    # An entry that cannot be used counts as removed.
+                    logs.warning(
+                        'entry_unreadable', key=row.key, why=str(error)
+                    )
+                    metrics.UNREADABLE_ROWS.inc(self.dialect.upstreams_table)
                     self.directory.remove(row.key, now_ms)
         self.listener.upstreams_changed(self.directory)
 
@@ -390,6 +399,13 @@
     def _receive_peer_load(
         self, vm: ids.VmId, message: messages.EntryNews
     ) -> None:
+        if message.address:
+            self.peers.introduce(
+                vm,
+                peer_membership.VmRow(
+                    message.address, message.availability_zone
+                ),
+            )
         self.peers.record_contact(vm)
         self._observe_state(message.newest_state)
         self._receive_watermarks(vm, message.marks)
@@ -449,13 +465,16 @@
         reply = done.result()
         if not isinstance(reply, messages.RowsReply) or reply.rows is None:
             return
-        entries = msgspec.msgpack.decode(
-            zlib.decompress(reply.rows), type=list[messages.RowEntry]
-        )
-        rows = tuple(
-            row_store.StoreRow(e.key, e.value, e.version, False)
-            for e in entries
-        )
+        match peer_rows.decode(reply.rows):
+            case result.Err(error):
+                logs.warning(
+                    'table_from_peer_unreadable',
+                    table=reply.mark.table,
+                    why=str(error),
+                )
+                return
+            case result.Ok(rows):
+                pass
         watermark = reply.mark
         page = row_store.RowPage(
             rows, watermark.version, watermark.store_ms, watermark.timeline
@@ -498,18 +517,18 @@
                 query.table, watermark or _EMPTY_WATERMARK
             )
             return messages.RowsReply(remote, None)
-        entries = [
-            messages.RowEntry(row.key, row.value, row.version) for row in rows
-        ]
-        packed = zlib.compress(msgspec.msgpack.encode(entries))
         return messages.RowsReply(
-            _encode_watermark(query.table, watermark), packed
+            _encode_watermark(query.table, watermark), peer_rows.encode(rows)
         )
 
     # Timers
 
     def _poll(self) -> None:
         now_ms = self.loop.now_ms()
+        if self.peers.first_read_ms is not None:
+            self.watch_from_ms = min(
+                self.watch_from_ms, self.peers.first_read_ms + STARTUP_GRACE_MS
+            )
         before = dict(self.directory.upstreams)
         self.directory.expire(now_ms)
         if self.directory.upstreams != before:
@@ -519,8 +538,13 @@
         self.loop.call_later(POLL_INTERVAL_MS, self._poll)
 
     def _should_watch(self, name: str) -> bool:
-        """Return whether this VM watches a table on behalf of its zone."""
-        watermark = self.tables[name].replica.watermark
+        """Return whether this VM watches a table on behalf of its zone.
+
+        The first VM of the zone watches it, unless the store rejects this VM
+        and the others keep the table current.
+        """
+        table = self.tables[name]
+        watermark = table.replica.watermark
         if watermark is None:
             return True
         now_ms = self.loop.now_ms()
@@ -528,14 +552,12 @@
             return False
         members = self.peers.zone_members()
         rank = rendezvous.ranked(name, members).index(self.settings.vm)
-        if rank == 0:
+        if rank == 0 and not table.watch.failing:
             return True
         age_ms = now_ms - self.store_clock.local_ms(watermark.store_ms)
-        stale_ms = self.tables[name].watch.wait_ms + STALE_MARGIN_MS
-        return (
-            age_ms
-            > stale_ms + min(rank, MAX_DELAYED_RANK) * STALE_RANK_DELAY_MS
-        )
+        stale_ms = table.watch.wait_ms + STALE_MARGIN_MS
+        delay_ms = min(rank, MAX_DELAYED_RANK) * STALE_RANK_DELAY_MS
+        return age_ms > stale_ms + delay_ms
 
 
 _EMPTY_WATERMARK = table_replica.Watermark(0, 0, 0.0)
--- a/eelgrassknot/forwarding/table_watch.py
+++ b/eelgrassknot/forwarding/table_watch.py
@@ -20,7 +20,13 @@
 RESUMING_WAIT_MS = 1.0
 """How long the first call after a pause waits for a change; ms. Its response
 shows whether the store has been restored meanwhile."""
-APPLY_DELAY_MS = 10.0
+APPLY_POLL_MS = 10.0
+"""Interval at which a watch checks whether a page has been applied; ms."""
+MAX_APPLY_MS = 1_000.0
+"""How long a watch waits until a page is applied; ms."""
+CHANGE_INTERVAL_MS = 100.0
+"""Minimum time between a page with changes and the next call; ms. Changes
+that follow each other closely are read by one call."""
 RETRY_BASE_MS = 100.0
 RETRY_MAX_MS = 800.0
 
@@ -74,7 +80,8 @@
 
     Attributes:
         active: Whether to call the store; an inactive VM receives the
-            table from its peers.
+            table from its peers. A watch that has read a whole table is
+            inactive until it is activated again.
         resuming: Whether no call has been answered since the watch was
             inactive or a call failed.
     """
@@ -183,6 +190,8 @@
         returned, self.failing = self.failing, False
         self.backoff = self._create_backoff()
         now_ms = self.clock.now_ms()
+        if known is None:
+            self.active = False
         self.deliver(
             PageReceived(
                 self.table,
@@ -193,9 +202,21 @@
                 returned,
             )
         )
-        # Gives the event loop time to apply the page, because the next call
-        # asks for the changes after it.
-        self.stopped.wait(APPLY_DELAY_MS / clocks.MS_PER_SECOND)
+        if page.rows and known is not None:
+            self.stopped.wait(CHANGE_INTERVAL_MS / clocks.MS_PER_SECOND)
+        self._await_application(page)
+
+    def _await_application(self, page: row_store.RowPage) -> None:
+        """Wait until the event loop has applied a page.
+
+        A call before that would ask for the same changes again.
+        """
+        until_ms = self.clock.now_ms() + MAX_APPLY_MS
+        while not self.stopped.is_set() and self.clock.now_ms() < until_ms:
+            position = self.resume_position()
+            if position is not None and position >= page.position:
+                return
+            self.stopped.wait(APPLY_POLL_MS / clocks.MS_PER_SECOND)
 
     def _handle_failure(self, error: row_store.StoreError) -> None:
         metrics.STORE_CALLS.inc(error.code)
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from eelgrassknot import decoding
 from eelgrassknot.forwarding import connection as connections
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import metrics
@@ -452,6 +453,7 @@
         return 0.0
     for parameter in found.get(b'keep-alive', b'').split(b','):
         name, _, value = parameter.strip().partition(b'=')
-        if name.lower() == b'timeout' and value.strip().isdigit():
-            return int(value) * 1_000.0 * KEEP_ALIVE_FRACTION
+        timeout_s = decoding.parse_digits(value.decode('latin-1').strip())
+        if name.lower() == b'timeout' and timeout_s is not None:
+            return timeout_s * 1_000.0 * KEEP_ALIVE_FRACTION
     return IDLE_MS
--- a/eelgrassknot/platform/desired_state.py
+++ b/eelgrassknot/platform/desired_state.py
@@ -3,6 +3,7 @@
 import msgspec
 import result
 
+from eelgrassknot import decoding
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
@@ -31,24 +32,24 @@
     # Latency objective of a response. It is the only one of the objectives
     # that the platform calls a service level objective.
     slo_ms: float = 0.0
-    priority: int = 0
+    priority: decoding.SmallInt = 0
     service: str | None = None
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: decoding.SmallInt = 1
     public: bool = False
     resumable: bool = False
     target_gap_ms: float | None = None
 
 
 class _Engine(_Struct):
-    batch_slots: int
-    kv_capacity: int
+    batch_slots: decoding.SmallInt
+    kv_capacity: decoding.SmallInt
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     moves: bool = False
     backups: bool = False
     # Number of tokens in one event of a stream.
-    stride: int = 1
+    stride: decoding.SmallInt = 1
     # In seconds, unlike the other durations.
     handle_s: float = 0.0
 
@@ -56,7 +57,7 @@
 class _Service(_Struct):
     name: str
     health_path: str
-    max_conns: int = 0
+    max_conns: decoding.SmallInt = 0
     engine: _Engine | None = None
 
 
@@ -67,14 +68,14 @@
 
 
 class _Limits(_Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: decoding.SmallInt
+    max_body_bytes: decoding.SmallInt
     header_timeout_ms: float
     idle_timeout_ms: float
 
 
 class _DesiredState(_Struct):
-    version: int
+    version: decoding.Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -93,15 +94,12 @@
         The state, or an error with the JSON path of the invalid field.
     """
     try:
-        found = msgspec.json.decode(document, type=_DesiredState)
-        return result.Ok(_convert_state(found))
-    except (msgspec.MsgspecError, ValueError) as error:
-        return result.Err(
-            exceptions.MalformedAnswerError(
-                f'the desired state cannot be decoded: {error}',
-                'correct the field named in the message and write it again',
-            )
-        )
+        return decoding.decode_json(
+            document, _DesiredState, 'the desired state'
+        ).map(_convert_state)
+    except ValueError as error:
+        # A value that is not in an enumeration.
+        return result.Err(decoding.unreadable('the desired state', str(error)))
 
 
 def _convert_state(found: _DesiredState) -> model.DeploymentState:
--- a/eelgrassknot/platform/engines.py
+++ b/eelgrassknot/platform/engines.py
@@ -3,6 +3,7 @@
 import h11
 import msgspec
 
+from eelgrassknot import decoding
 from eelgrassknot import ids
 
 __all__ = ['decode_kv_transfer', 'encode_kv_transfer']
@@ -20,9 +21,9 @@
 
 
 class _TransferResponse(msgspec.Struct):
-    handle: str | int
+    handle: str | decoding.Int64
     # Number of events generated so far, not a timestamp.
-    created: int = 0
+    created: decoding.Int64 = 0
 
 
 def encode_kv_transfer(
@@ -57,7 +58,8 @@
     """
     if status != _OK:
         return None
-    try:
-        return str(msgspec.json.decode(body, type=_TransferResponse).handle)
-    except msgspec.MsgspecError:
-        return None
+    return (
+        decoding.decode_json(body, _TransferResponse, 'the response')
+        .map(lambda found: str(found.handle))
+        .unwrap_or(None)
+    )
--- a/eelgrassknot/platform/servers.py
+++ b/eelgrassknot/platform/servers.py
@@ -5,6 +5,7 @@
 import msgspec
 import result
 
+from eelgrassknot import decoding
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
@@ -27,10 +28,10 @@
     state: str
     # Slots of this server. In the desired state, the field of the same name
     # applies to each engine of a service.
-    batch_slots: int = 1
+    batch_slots: decoding.SmallInt = 1
     warmup_left_ms: float = 0.0
     # Start time in Unix ms, which identifies the incarnation; not an age.
-    born: int = 0
+    born: decoding.Int64 = 0
 
 
 def decode_upstream(
@@ -45,28 +46,26 @@
         value: JSON document of the entry.
         regions: Region of each availability zone.
     """
-    try:
-        found = msgspec.json.decode(value, type=_Server)
-        _, port = found.address.rsplit(':', 1)
-        int(port)
-        return result.Ok(
-            model.Upstream(
-                upstream=ids.UpstreamId(key),
-                service=ids.ServiceName(found.service),
-                kind=states.ServiceKind.PLAIN,
-                address=found.address,
-                availability_zone=ids.AvailabilityZoneId(found.zone),
-                region=ids.RegionId(regions.get(found.zone, found.zone)),
-                state=_STATES[found.state],
-                slots=max(1, found.batch_slots),
-                warm_up_ms=found.warmup_left_ms,
-                started_at_ms=found.born,
-            )
-        )
-    except (msgspec.MsgspecError, ValueError, KeyError) as error:
-        return result.Err(
-            exceptions.MalformedAnswerError(
-                f'the server entry {key} cannot be decoded: {error!r}',
-                'check the program that wrote it; the other entries are used',
-            )
+    name = f'the server entry {key}'
+    match decoding.decode_json(value, _Server, name):
+        case result.Err() as error:
+            return error
+        case result.Ok(found):
+            pass
+    if found.state not in _STATES:
+        reason = f'unknown state {found.state!r}'
+        return result.Err(decoding.unreadable(name, reason))
+    return decoding.check_address(found.address, name).map(
+        lambda address: model.Upstream(
+            upstream=ids.UpstreamId(key),
+            service=ids.ServiceName(found.service),
+            kind=states.ServiceKind.PLAIN,
+            address=address,
+            availability_zone=ids.AvailabilityZoneId(found.zone),
+            region=ids.RegionId(regions.get(found.zone, found.zone)),
+            state=_STATES[found.state],
+            slots=max(1, found.batch_slots),
+            warm_up_ms=found.warmup_left_ms,
+            started_at_ms=found.born,
         )
+    )
--- a/eelgrassknot/platform/store.py
+++ b/eelgrassknot/platform/store.py
@@ -8,6 +8,7 @@
 import pycurl
 import result
 
+from eelgrassknot import decoding
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import row_store
 from eelgrassknot import http_client
@@ -37,14 +38,14 @@
     key: str
     # base64
     value: str | None = ''
-    ver: int = 0
+    ver: decoding.Int64 = 0
     part: str = ''
     deleted: bool = False
 
 
 class _Response(msgspec.Struct, rename='camel'):
     # Newest version of the whole store, not of the rows.
-    ver: int
+    ver: decoding.Int64
     # The store's monotonic clock, not the time of day.
     now_ms: float = 0.0
     rows: list[_Row] = []
@@ -240,8 +241,9 @@
 
     def _record_timeline(self, header_lines: list[bytes]) -> None:
         stated = http_client.parse_headers(header_lines).get(_TIMELINE, '')
-        if stated.isdecimal():
-            self.timeline = int(stated)
+        timeline = decoding.parse_digits(stated)
+        if timeline is not None:
+            self.timeline = timeline
 
     def _discard_handle(self) -> None:
         # A connection on which a response was lost must not be reused.
@@ -300,15 +302,7 @@
 def _decode_response(
     body: bytes,
 ) -> result.Result[_Response, row_store.StoreError]:
-    try:
-        return result.Ok(msgspec.json.decode(body, type=_Response))
-    except msgspec.MsgspecError as error:
-        return result.Err(
-            exceptions.MalformedAnswerError(
-                f'the response of the store cannot be decoded: {error}',
-                'check that the address is the store of this deployment',
-            )
-        )
+    return decoding.decode_json(body, _Response, "the store's response")
 
 
 def _decode_row(row: _Row) -> row_store.StoreRow:
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -5,6 +5,7 @@
 
 import result
 
+from eelgrassknot import decoding
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import model
@@ -81,6 +82,7 @@
     ]
 )
 MISDIRECTED = 421
+MAX_TOKENS = 2**31
 READINESS_PATH = b'/api/readiness'
 
 
@@ -206,10 +208,20 @@
 
 
 def _parse_int(value: bytes | None) -> int | None:
-    try:
-        return None if value is None else int(value)
-    except ValueError:
-        return None
+    text = _decode_text(value)
+    return None if text is None else decoding.parse_digits(text)
+
+
+def _parse_count(text: str) -> int:
+    """Return a number of tokens.
+
+    Raises:
+        ValueError: If the text is no number, or one that no engine accepts.
+    """
+    count = decoding.parse_digits(text.strip())
+    if count is None or count > MAX_TOKENS:
+        raise ValueError(text)
+    return count
 
 
 def _parse_generation(
@@ -221,8 +233,8 @@
     prompt, _, output = counts.partition(',')
     try:
         return model.GenerationProfile(
-            prompt_tokens=int(prompt),
-            max_output_tokens=int(output),
+            prompt_tokens=_parse_count(prompt),
+            max_output_tokens=_parse_count(output),
             output_hint=_parse_int(found.get(OUTPUT_HINT)),
             parts=_parse_prompt_parts(
                 _decode_text(found.get(PROMPT_PARTS)) or ''
@@ -237,5 +249,5 @@
     parts = []
     for entry in filter(None, listed.split(',')):
         name, _, tokens = entry.strip().partition(':')
-        parts.append(model.PromptPart(name, int(tokens)))
+        parts.append(model.PromptPart(name, _parse_count(tokens)))
     return tuple(parts)
--- a/eelgrassknot/settings/entry.py
+++ b/eelgrassknot/settings/entry.py
@@ -94,7 +94,7 @@
         settings = msgspec.json.decode(document, type=EntrySettings)
         for name in settings.listen.__struct_fields__:
             _check_address(name, getattr(settings.listen, name))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise exceptions.SettingsError(
             f'{path}: {error}',
             'correct the field that the message names in the template of '
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -136,6 +136,10 @@
             state, self.peer_load, self.limits, loop
         )
 
+    def introduction(self):
+        """Return no address; all VMs know each other's."""
+        return ''
+
     def start(self):
         """Start publishing."""
         self.load_publisher.start()
