Large fleets: streams spread over engines, changes in place of tables; statements of upstreams

Cause: each VM chose the engine with the least known load, and of equal ones the first. Change: among engines whose delays differ by less than 30 ms (copies: a quarter of the memory) each run has an order of its own. Now only changes are handed over, only watchers announce them, sums are kept. Server-Leaving and Retry-After of a 503 were read nowhere. upstream_statements reads all statements; a leaving upstream gets nothing new although its entry says ready, peers of the zone are told; a pausing one gets one request at its end.

--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -256,6 +256,8 @@
             sender knows of, or None.
         address: ``IP:port`` on which the sender listens to peers, if it has
             started recently; empty otherwise.
+        leaving_upstreams: Upstreams that have said in a response that they
+            are leaving, with the start of their process.
     """
 
     availability_zone: ids.AvailabilityZoneId
@@ -266,6 +268,7 @@
     limits: tuple[LimitEntry, ...] | None = None
     newest_state: int | None = None
     address: str = ''
+    leaving_upstreams: tuple[tuple[ids.UpstreamId, int], ...] = ()
 
 
 class ZoneNews(msgspec.Struct, array_like=True, tag=15, frozen=True):
@@ -323,19 +326,23 @@
 
     Attributes:
         timeline: Timeline of the store in which the version counts.
+        accepts_changes: Whether the reply may contain only the changes after
+            the version.
     """
 
     table: str
     version: int
     timeline: int = 0
+    accepts_changes: bool = False
 
 
 class RowEntry(msgspec.Struct, array_like=True, frozen=True):
-    """One row of a table."""
+    """One row of a table, or its removal."""
 
     key: str
     value: bytes
     version: int
+    deleted: bool = False
 
 
 class RowsReply(msgspec.Struct, array_like=True, tag=14, frozen=True):
@@ -343,10 +350,13 @@
 
     Attributes:
         rows: The rows as one msgpack array, compressed with zlib.
+        after: Version after which the rows are all changes, or None if they
+            are the whole table.
     """
 
     mark: TableMark
     rows: bytes | None
+    after: int | None = None
 
 
 Query = ConfigFetch | OwnerQuery | ListFetch | RowsFetch
--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -33,6 +33,7 @@
 from eelgrassknot.forwarding import settings_reload
 from eelgrassknot.forwarding import upstream_connection
 from eelgrassknot.forwarding import upstream_directory
+from eelgrassknot.forwarding import upstream_statements
 from eelgrassknot.forwarding import work as works
 from eelgrassknot.forwarding import zone_digests
 from eelgrassknot import ids
@@ -41,6 +42,7 @@
 from eelgrassknot.policy import health
 from eelgrassknot.policy import plain
 from eelgrassknot.policy import upstream_limits
+from eelgrassknot.policy import upstream_pauses
 from eelgrassknot.settings import entry as entry_settings
 
 __all__ = ['EntryDaemon', 'main']
@@ -96,11 +98,23 @@
             lambda: self.replicated_state.peers.membership.known_count,
             self.loop,
         )
+        self.pauses = upstream_pauses.PauseTable(self.generator)
         self.scheduler = engine_scheduler.EngineScheduler(
-            self.loop, region, upstream_health, self.permits
+            self.loop, region, upstream_health, self.permits, self.pauses
         )
         self.plain_pool = plain.PlainPool(
-            region, self.generator, upstream_health, self.permits
+            region,
+            self.generator,
+            upstream_health,
+            self.permits,
+            self.pauses,
+        )
+        self.statements = upstream_statements.StatementReader(
+            dialect,
+            self.loop,
+            self.limits,
+            self.pauses,
+            self.replicated_state.announce_leaving,
         )
         self.context = works.Context(
             loop=self.loop,
@@ -112,6 +126,7 @@
             scheduler=self.scheduler,
             crash_reports=self.replicated_state.crash_reports,
             limits=self.limits,
+            statements=self.statements,
             permits=self.permits,
             retry_ratio=settings.rules.retry_ratio,
             retry_burst=self._retry_burst,
@@ -257,6 +272,7 @@
         if self.forwarder.state is not None:
             services = self.forwarder.state.services
         self.limits.upstreams_changed(directory.upstreams)
+        self.statements.upstreams_changed(directory.upstreams)
         self.permits.retain_limited()
         self.plain_pool.upstreams = dict(directory.upstreams)
         self.scheduler.update_engines(
@@ -265,6 +281,9 @@
 
     def upstream_leaving(self, upstream: str) -> None:
         """Resume the streams of a leaving upstream at other engines."""
+        left = self.replicated_state.directory.upstreams.get(upstream)
+        if left is not None:
+            self.context.connections.close_address(left.address)
         self.scheduler.upstream_leaving(upstream)
 
     def peer_load_received(
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -88,7 +88,9 @@
     ) -> None:
         """Store the status and headers of the response."""
         self._finish_waiting(responded=True)
-        self.context.limits.response_started(self.upstream, status, headers)
+        self.context.statements.response_started(
+            self.upstream, status, headers
+        )
         self.status = status
         self.upstream_headers = headers
         self.body = bytearray()
@@ -288,7 +290,7 @@
             action.upstream.upstream, self.now_ms()
         )
         self.awaiting_response = True
-        self.context.limits.request_sent(
+        self.context.statements.request_sent(
             action.upstream,
             self.work.request,
             limit_monitor.Purpose.CALL,
--- a/eelgrassknot/forwarding/dialect.py
+++ b/eelgrassknot/forwarding/dialect.py
@@ -81,6 +81,10 @@
         stated_limit: Returns the requests per second that the upstream
             takes from all VMs together, or None if a response states no
             limit.
+        stated_pause_ms: Returns how long an upstream wants no request from
+            this VM, given the status and headers of its response, or None;
+            in ms.
+        states_leaving: Whether a response says that its upstream is leaving.
         encode_kv_transfer: Encodes the call that transfers a run's memory.
         decode_kv_transfer: Decodes the response to that call.
     """
@@ -114,6 +118,11 @@
         [Headers],
         result.Result[float | None, exceptions.MalformedAnswerError],
     ]
+    stated_pause_ms: collections.abc.Callable[
+        [int, Headers],
+        result.Result[float | None, exceptions.MalformedAnswerError],
+    ]
+    states_leaving: collections.abc.Callable[[Headers], bool]
     encode_kv_transfer: collections.abc.Callable[
         [str, ids.RequestId, str, bool], tuple[h11.Request, bytes]
     ]
--- a/eelgrassknot/forwarding/engine_scheduler.py
+++ b/eelgrassknot/forwarding/engine_scheduler.py
@@ -11,6 +11,7 @@
 from eelgrassknot.policy import engine_queue
 from eelgrassknot.policy import health
 from eelgrassknot.policy import send_permits
+from eelgrassknot.policy import upstream_pauses
 from eelgrassknot import states
 
 __all__ = ['EngineScheduler']
@@ -41,6 +42,7 @@
         region: Region of this VM.
         health: Health of the engines.
         permits: Permits to send to limited engines.
+        pauses: Pauses that engines have stated.
 
     Attributes:
         streams: Drivers of all active streams.
@@ -54,11 +56,12 @@
         region: ids.RegionId,
         health: health.HealthTracker,
         permits: send_permits.PermitView | None = None,
+        pauses: upstream_pauses.PauseTable | None = None,
     ) -> None:
         self.loop = loop
         self.region = region
         self.streams: set[ActiveStream] = set()
-        self.queue = engine_queue.EngineQueue(health, permits)
+        self.queue = engine_queue.EngineQueue(health, permits, pauses)
         self.upstreams: dict[str, model.Upstream] = {}
         self.callbacks: dict[ids.RequestId, PlacementCallback] = {}
         self.is_step_scheduled = False
@@ -143,6 +146,7 @@
             return None
         commitment.copy = None
         engine = self.queue.place_copy(
+            request,
             primary.service,
             engine_pairs.Location(
                 primary.upstream, primary.region, primary.availability_zone
--- a/eelgrassknot/forwarding/kv_transfer.py
+++ b/eelgrassknot/forwarding/kv_transfer.py
@@ -55,7 +55,9 @@
             TRANSFER_TIMEOUT_MS, lambda: self._finish(None)
         )
         self.permit: send_permits.PendingPermit | None = None
-        if context.permits.is_limited(plan.source.upstream):
+        if context.statements.wait_ms(plan.source.upstream):
+            context.loop.call_soon(lambda: self._finish(None))
+        elif context.permits.is_limited(plan.source.upstream):
             self.permit = context.permits.acquire(
                 plan.source.upstream,
                 plan.request,
@@ -127,7 +129,7 @@
         head, body = context.dialect.encode_kv_transfer(
             plan.source.address, plan.request, plan.target.address, False
         )
-        context.limits.request_sent(
+        context.statements.request_sent(
             plan.source, plan.request, limit_monitor.Purpose.TRANSFER, 1
         )
         self.attempt = upstream_connection.Attempt(
--- a/eelgrassknot/forwarding/load_publisher.py
+++ b/eelgrassknot/forwarding/load_publisher.py
@@ -72,6 +72,7 @@
         sums = self.peer_load.engine_sums()
         current = (
             self.replicated_state.urgent_versions(),
+            self.replicated_state.announced_leaving,
             tuple(
                 (
                     engine,
@@ -102,6 +103,7 @@
                 limits,
                 self.replicated_state.newest_state,
                 self.replicated_state.peers.introduction(),
+                self.replicated_state.announced_leaving,
             )
         )
 
--- a/eelgrassknot/forwarding/loop.py
+++ b/eelgrassknot/forwarding/loop.py
@@ -6,6 +6,7 @@
 import itertools
 import selectors
 import socket
+import threading
 
 from eelgrassknot import clock as clocks
 from eelgrassknot import logs
@@ -60,6 +61,9 @@
         self.timer_sequence = itertools.count()
         self.pending_calls: collections.deque[Callback] = collections.deque()
         self.running = False
+        self.thread_id: int | None = None
+        self.may_wait = False
+        self.is_wakeup_sent = False
         self.wakeup_reader, self.wakeup_writer = _create_wakeup_pair()
         self.selector.register(
             self.wakeup_reader, selectors.EVENT_READ, self._drain_wakeups
@@ -82,6 +86,9 @@
     def call_soon(self, callback: Callback) -> None:
         """Schedule a callback for the next iteration; thread-safe."""
         self.pending_calls.append(callback)
+        if self.is_wakeup_sent or self._is_running_callbacks():
+            return
+        self.is_wakeup_sent = True
         try:
             self.wakeup_writer.send(b'.')
         except BlockingIOError:
@@ -108,6 +115,7 @@
     def run(self) -> None:
         """Run until the loop is stopped."""
         self.running = True
+        self.thread_id = threading.get_ident()
         while self.running:
             self._run_once()
 
@@ -116,7 +124,10 @@
         self.running = False
 
     def _run_once(self) -> None:
-        for key, mask in self.selector.select(self._select_timeout_s()):
+        self.may_wait = True
+        ready = self.selector.select(self._select_timeout_s())
+        self.may_wait = False
+        for key, mask in ready:
             self._run_callback(lambda key=key, mask=mask: key.data(mask))
         for timer in self._pop_due_timers():
             if not timer.cancelled:
@@ -143,8 +154,17 @@
             wait_ms = min(wait_ms, self.timers[0][0] - self.now_ms())
         return max(0.0, wait_ms) / clocks.MS_PER_SECOND
 
+    def _is_running_callbacks(self) -> bool:
+        """Return whether the caller is a callback of the loop.
+
+        The loop checks for pending calls before it waits again. The handler
+        of a signal may run while the loop waits.
+        """
+        return threading.get_ident() == self.thread_id and not self.may_wait
+
     def _drain_wakeups(self, _: int) -> None:
         self.wakeup_reader.recv(WAKEUP_READ_BYTES)
+        self.is_wakeup_sent = False
 
     def _run_callback(self, callback: Callback) -> None:
         try:
--- a/eelgrassknot/forwarding/metrics.py
+++ b/eelgrassknot/forwarding/metrics.py
@@ -9,6 +9,7 @@
     'CRASH_REPORTS',
     'LIMITED_REQUESTS',
     'LIMITED_UPSTREAMS',
+    'PAUSES',
     'PERMITS',
     'REQUESTS_IN_PROGRESS',
     'CONNECTIONS_OPENED',
@@ -56,6 +57,10 @@
     'eelgrassknot_upstream_connections_opened',
     'Connections opened to upstreams',
 )
+PAUSES = instruments.Counter(
+    'eelgrassknot_pauses',
+    'Pauses that upstreams have stated when they turned a request away',
+)
 LIMITED_UPSTREAMS = instruments.Gauge(
     'eelgrassknot_limited_upstreams',
     'Upstreams that currently state a request limit',
--- a/eelgrassknot/forwarding/peer_load.py
+++ b/eelgrassknot/forwarding/peer_load.py
@@ -27,6 +27,11 @@
         scheduler: This VM's streams.
         plain_pool: This VM's plain calls.
         loop: The event loop.
+
+    Attributes:
+        calls: Plain calls by source, with the time of the report; the source
+            that reported last is at the end.
+        total_calls: Sum over the sources that have reported lately.
     """
 
     def __init__(
@@ -38,9 +43,11 @@
         self.scheduler = scheduler
         self.plain_pool = plain_pool
         self.loop = loop
+        self.total_calls: collections.Counter = collections.Counter()
         self.calls: dict[
             LoadSource, tuple[float, dict[ids.UpstreamId, int]]
         ] = {}
+        self.plain_pool.peer_running = self.total_calls
 
     @property
     def commitment_totals(self) -> commitments.Commitments:
@@ -64,8 +71,11 @@
         }
         now_ms = self.loop.now_ms()
         self.commitment_totals.update_peer(source, sums, now_ms)
-        self.calls[source] = (now_ms, dict(message.calls))
-        self.plain_pool.peer_running = self._count_calls(None)
+        self._forget_calls(source)
+        self._forget_expired_calls(now_ms)
+        calls = dict(message.calls)
+        self.calls[source] = (now_ms, calls)
+        self.total_calls.update(calls)
         if self.scheduler.queue.waiting:
             self.scheduler.schedule_step()
 
@@ -85,16 +95,27 @@
         return {upstream: count for upstream, count in calls.items() if count}
 
     def _count_calls(
-        self, sources: collections.abc.Collection[LoadSource] | None
+        self, sources: collections.abc.Collection[LoadSource]
     ) -> collections.Counter:
-        now_ms = self.loop.now_ms()
+        self._forget_expired_calls(self.loop.now_ms())
         total: collections.Counter = collections.Counter()
-        for source, (received_ms, calls) in self.calls.items():
-            is_included = sources is None or source in sources
-            if is_included and now_ms - received_ms <= CALLS_TTL_MS:
-                total.update(calls)
+        for source in sources:
+            if source in self.calls:
+                total.update(self.calls[source][1])
         return total
 
+    def _forget_expired_calls(self, now_ms: float) -> None:
+        while self.calls:
+            source, (received_ms, _) = next(iter(self.calls.items()))
+            if now_ms - received_ms <= CALLS_TTL_MS:
+                return
+            self._forget_calls(source)
+
+    def _forget_calls(self, source: LoadSource) -> None:
+        if source in self.calls:
+            _, calls = self.calls.pop(source)
+            self.total_calls.subtract(calls)
+
 
 def engine_entries(
     sums: collections.abc.Mapping[ids.UpstreamId, commitments.EngineSums],
--- a/eelgrassknot/forwarding/peer_rows.py
+++ b/eelgrassknot/forwarding/peer_rows.py
@@ -19,9 +19,10 @@
 
 
 def encode(rows: collections.abc.Iterable[row_store.StoreRow]) -> bytes:
-    """Encode rows that have not been deleted."""
+    """Encode rows."""
     entries = [
-        messages.RowEntry(row.key, row.value, row.version) for row in rows
+        messages.RowEntry(row.key, row.value, row.version, row.deleted)
+        for row in rows
     ]
     return zlib.compress(msgspec.msgpack.encode(entries))
 
@@ -49,7 +50,9 @@
         return result.Err(decoding.unreadable('the table', str(error)))
     return result.Ok(
         tuple(
-            row_store.StoreRow(each.key, each.value, each.version, False)
+            row_store.StoreRow(
+                each.key, each.value, each.version, each.deleted
+            )
             for each in entries
         )
     )
--- a/eelgrassknot/forwarding/replicated_state.py
+++ b/eelgrassknot/forwarding/replicated_state.py
@@ -215,20 +215,17 @@
     def urgent_versions(self) -> tuple[tuple[str, int, float], ...]:
         """Return the positions whose change is published at once.
 
-        A VM that watches a table publishes each confirmation; the others
-        publish only changes, because the peers of the zone also receive the
-        messages of the watching VM.
+        A VM that watches a table publishes each confirmation. The peers of
+        its zone receive them from it, so the others need not pass them on.
         """
         return tuple(
             (
                 name,
                 table.replica.watermark.timeline,
-                table.replica.watermark.store_ms
-                if table.watch.active
-                else table.replica.watermark.last_change,
+                table.replica.watermark.store_ms,
             )
             for name, table in self.tables.items()
-            if table.replica.watermark is not None
+            if table.watch.active and table.replica.watermark is not None
         )
 
     # The store
@@ -367,6 +364,27 @@
                     self.directory.remove(row.key, now_ms)
         self.listener.upstreams_changed(self.directory)
 
+    def announce_leaving(
+        self, upstream: ids.UpstreamId, started_at_ms: int
+    ) -> None:
+        """Handle an upstream's word that it is leaving.
+
+        Args:
+            upstream: The upstream.
+            started_at_ms: Start of its process.
+        """
+        if self.directory.announce_leaving(upstream, started_at_ms):
+            self.listener.upstreams_changed(self.directory)
+
+    @property
+    def announced_leaving(self) -> tuple[tuple[ids.UpstreamId, int], ...]:
+        """Listed upstreams that have said that they are leaving."""
+        return tuple(
+            (ids.UpstreamId(name), started_at_ms)
+            for name, started_at_ms in self.directory.announced.items()
+            if name in self.directory.upstreams
+        )
+
     def _notify_leaving(self, upstream: str) -> None:
         # Deferred until no new requests are placed there.
         self.loop.call_soon(
@@ -409,6 +427,8 @@
         self.peers.record_contact(vm)
         self._observe_state(message.newest_state)
         self._receive_watermarks(vm, message.marks)
+        for upstream, started_at_ms in message.leaving_upstreams:
+            self.announce_leaving(upstream, started_at_ms)
         self.listener.peer_load_received(vm, message)
 
     def _receive_zone_load(
@@ -450,7 +470,10 @@
             return
         watermark = table.replica.watermark or _EMPTY_WATERMARK
         query = messages.RowsFetch(
-            remote.table, watermark.version, watermark.timeline
+            remote.table,
+            watermark.version,
+            watermark.timeline,
+            accepts_changes=table.replica.watermark is not None,
         )
         future = self.peers.link.send_query(vm, query)
         future.add_done_callback(
@@ -484,10 +507,11 @@
             'table_from_peer', table=watermark.table, version=watermark.version
         )
         self._detect_outage(watermark.table, watermark.store_ms)
-        self._apply(
-            watermark.table,
-            table.replica.apply_snapshot(page, watermark.changed),
-        )
+        if reply.after is None:
+            changes = table.replica.apply_snapshot(page, watermark.changed)
+        else:
+            changes = table.replica.apply_changes(reply.after, page)
+        self._apply(watermark.table, changes)
 
     def _detect_outage(self, name: str, store_ms: float) -> None:
         """Record an outage of the store that only peers have noticed.
@@ -510,15 +534,24 @@
             mark = _encode_watermark(query.table, _EMPTY_WATERMARK)
             return messages.RowsReply(mark, None)
         replica = self.tables[query.table].replica
-        watermark, rows = replica.watermark, list(replica.rows.values())
+        watermark = replica.watermark
         known = (query.timeline, query.version)
         if watermark is None or watermark.position <= known:
             remote = _encode_watermark(
                 query.table, watermark or _EMPTY_WATERMARK
             )
             return messages.RowsReply(remote, None)
+        after, rows = None, None
+        if query.accepts_changes:
+            rows = replica.changes_after(query.version, query.timeline)
+        if rows is None:
+            rows = tuple(replica.rows.values())
+        else:
+            after = query.version
         return messages.RowsReply(
-            _encode_watermark(query.table, watermark), peer_rows.encode(rows)
+            _encode_watermark(query.table, watermark),
+            peer_rows.encode(rows),
+            after,
         )
 
     # Timers
--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -59,7 +59,7 @@
         self.status = status
         self.headers = headers
         self.head_ms = self.driver.now_ms()
-        self.driver.context.limits.response_started(
+        self.driver.context.statements.response_started(
             self.upstream, status, headers
         )
         is_signed = self.driver.context.dialect.is_signed(headers)
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -347,9 +347,18 @@
             engine_tokens=sums.tokens + sums.copy_tokens,
             engine_unread=sums.unread_tokens,
         )
+        pause_ms = self.context.statements.wait_ms(send.upstream.upstream)
         if send.continue_from is None:
             # A run that starts is placed with a permit.
             self._send_attempt(attempt, send, limit_monitor.Purpose.STREAM)
+        elif pause_ms:
+            logs.event(
+                'continuation_paused',
+                request=self.work.request,
+                upstream=send.upstream.upstream,
+                wait_ms=round(pause_ms, 1),
+            )
+            self.dispatch(messages.NotRun(attempt.number))
         elif self.context.permits.is_limited(send.upstream.upstream):
             attempt.permit = self.context.permits.acquire(
                 send.upstream.upstream,
@@ -384,7 +393,7 @@
         send: messages.Send,
         purpose: limit_monitor.Purpose,
     ) -> None:
-        self.context.limits.request_sent(
+        self.context.statements.request_sent(
             send.upstream, self.work.request, purpose, send.attempt
         )
         attempt.upstream_attempt = works.send(
--- a/eelgrassknot/forwarding/table_replica.py
+++ b/eelgrassknot/forwarding/table_replica.py
@@ -48,12 +48,19 @@
     restored: bool = False
 
 
+MAX_REMOVALS = 512
+"""Number of removed rows that are remembered."""
+
+
 class TableReplica:
     """Rows of one table with their watermark.
 
     Attributes:
         rows: Rows by key.
         watermark: Watermark of the rows, or None before the first page.
+        removals: Removed rows by key, in the order of their removal.
+        complete_after: Version after which all changes are in the rows and
+            the removals.
 
     Example:
         >>> replica = TableReplica()
@@ -68,6 +75,24 @@
     def __init__(self) -> None:
         self.rows: dict[str, row_store.StoreRow] = {}
         self.watermark: Watermark | None = None
+        self.removals: dict[str, row_store.StoreRow] = {}
+        self.complete_after = 0
+
+    def changes_after(
+        self, version: int, timeline: int
+    ) -> tuple[row_store.StoreRow, ...] | None:
+        """Return the changes after a version, or None if some are unknown.
+
+        Args:
+            version: Version up to which the changes are not needed.
+            timeline: Timeline in which the version counts.
+        """
+        if self.watermark is None or timeline != self.watermark.timeline:
+            return None
+        if version < self.complete_after:
+            return None
+        known = [*self.rows.values(), *self.removals.values()]
+        return tuple(row for row in known if row.version > version)
 
     def covers(self, version: int, timeline: int = 0) -> bool:
         """Return whether the replica contains a change or has outlived it.
@@ -94,6 +119,9 @@
         removed = tuple(key for key in self.rows if key not in listed)
         put = tuple(row for row in page.rows if self.rows.get(row.key) != row)
         self.rows = listed
+        # What was removed between the two snapshots has no known version.
+        self.removals.clear()
+        self.complete_after = page.version
         self.watermark = Watermark(
             page.version, last_change, page.store_ms, page.timeline
         )
@@ -124,8 +152,10 @@
                 self.rows.pop(row.key, None)
                 put.pop(row.key, None)
                 removed[row.key] = None
+                self._remember_removal(row)
             else:
                 self.rows[row.key] = row
+                self.removals.pop(row.key, None)
                 removed.pop(row.key, None)
                 put[row.key] = row
         if page.version >= self.watermark.version:
@@ -135,6 +165,13 @@
             )
         return ChangeSet(tuple(put.values()), tuple(removed))
 
+    def _remember_removal(self, row: row_store.StoreRow) -> None:
+        self.removals.pop(row.key, None)
+        self.removals[row.key] = row
+        if len(self.removals) > MAX_REMOVALS:
+            forgotten = self.removals.pop(next(iter(self.removals)))
+            self.complete_after = max(self.complete_after, forgotten.version)
+
     def confirm(self, watermark: Watermark) -> bool:
         """Apply a peer's watermark; return whether no change is missing.
 
--- a/eelgrassknot/forwarding/upstream_directory.py
+++ b/eelgrassknot/forwarding/upstream_directory.py
@@ -7,6 +7,8 @@
 
 import collections.abc
 
+import msgspec
+
 from eelgrassknot.forwarding import model
 from eelgrassknot import logs
 from eelgrassknot import states
@@ -39,6 +41,9 @@
         warm_until_ms: When each upstream reaches its full speed.
         departed: Upstreams that have left, with the start of their process,
             oldest first.
+        announced: Upstreams that have said in a response that they are
+            leaving, with the start of their process, oldest first.
+        listed_states: State of each upstream in its entry.
         outdated: Entries of a restored store that contradict what is known,
             with the time from which they count. The store removes that of a
             server that has left before.
@@ -55,6 +60,8 @@
         self.expiring: dict[str, float] = {}
         self.warm_until_ms: dict[str, float] = {}
         self.departed: dict[tuple[str, int], None] = {}
+        self.announced: dict[str, int] = {}
+        self.listed_states: dict[str, states.UpstreamState] = {}
         self.outdated: dict[str, tuple[model.Upstream, float]] = {}
         self.store_recovered_ms = float('-inf')
 
@@ -62,6 +69,49 @@
         """Record that the store responds again after an outage."""
         self.store_recovered_ms = now_ms
 
+    def announce_leaving(self, name: str, started_at_ms: int) -> bool:
+        """Handle an upstream's word that it is leaving.
+
+        It counts until the upstream is restarted, or its entry turns from
+        leaving to live: an entry that says live may be older.
+
+        Args:
+            name: The upstream.
+            started_at_ms: Start of its process.
+
+        Returns:
+            Whether this changes the state of the upstream.
+        """
+        known = self.upstreams.get(name)
+        if known is None or known.started_at_ms != started_at_ms:
+            return False
+        if self.announced.get(name) == started_at_ms:
+            return False
+        self.announced[name] = started_at_ms
+        if len(self.announced) > MAX_DEPARTED:
+            del self.announced[next(iter(self.announced))]
+        if known.state is states.UpstreamState.LEAVING:
+            return False
+        logs.event('upstream_said_leaving', upstream=name)
+        self.upstreams[name] = _as_leaving(known)
+        self.on_leaving(name)
+        return True
+
+    def _apply_announcement(self, upstream: model.Upstream) -> model.Upstream:
+        """Return an entry with the state that its upstream has announced."""
+        name = upstream.upstream
+        before = self.listed_states.get(name)
+        self.listed_states[name] = upstream.state
+        if self.announced.get(name) != upstream.started_at_ms:
+            self.announced.pop(name, None)
+            return upstream
+        if upstream.state is not states.UpstreamState.LIVE:
+            return upstream
+        if before is states.UpstreamState.LEAVING:
+            del self.announced[name]
+            return upstream
+        return _as_leaving(upstream)
+
     def put(
         self, upstream: model.Upstream, now_ms: float, restored: bool = False
     ) -> None:
@@ -81,6 +131,7 @@
             self.outdated[name] = (upstream, due_ms)
             return
         self.outdated.pop(name, None)
+        upstream = self._apply_announcement(upstream)
         self.departed.pop((name, upstream.started_at_ms), None)
         self.expiring.pop(name, None)
         if before is not None and before.started_at_ms != (
@@ -145,9 +196,16 @@
 
     def _remove(self, name: str) -> None:
         upstream = self.upstreams.pop(name)
+        self.listed_states.pop(name, None)
         self.warm_until_ms.pop(name, None)
         self.departed[name, upstream.started_at_ms] = None
         if len(self.departed) > MAX_DEPARTED:
             del self.departed[next(iter(self.departed))]
         logs.event('upstream_gone', upstream=name, address=upstream.address)
         self.on_leaving(name)
+
+
+def _as_leaving(upstream: model.Upstream) -> model.Upstream:
+    return msgspec.structs.replace(
+        upstream, state=states.UpstreamState.LEAVING
+    )
--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -15,6 +15,7 @@
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import send_permits
 from eelgrassknot.forwarding import upstream_connection
+from eelgrassknot.forwarding import upstream_statements
 from eelgrassknot import ids
 from eelgrassknot.policy import health
 from eelgrassknot.policy import plain
@@ -55,6 +56,7 @@
     scheduler: 'engine_scheduler.EngineScheduler'
     crash_reports: crash_reports.CrashReports
     limits: limit_monitor.LimitMonitor
+    statements: upstream_statements.StatementReader
     permits: send_permits.SendPermits
     retry_ratio: float
     retry_burst: collections.abc.Callable[[], float]
--- a/eelgrassknot/platform/plugin.py
+++ b/eelgrassknot/platform/plugin.py
@@ -26,6 +26,8 @@
     is_signed=wire.is_signed,
     declares_not_executed=wire.declares_not_executed,
     stated_limit=wire.stated_limit,
+    stated_pause_ms=wire.stated_pause_ms,
+    states_leaving=wire.states_leaving,
     encode_kv_transfer=engines.encode_kv_transfer,
     decode_kv_transfer=engines.decode_kv_transfer,
 )
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import math
+import re
 
 import result
 
@@ -20,6 +21,8 @@
     'is_signed',
     'declares_not_executed',
     'stated_limit',
+    'stated_pause_ms',
+    'states_leaving',
 ]
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
@@ -50,6 +53,11 @@
 NOT_EXECUTED = b'not-executed'
 # Requests per second that the upstream takes from all VMs together.
 REQUEST_LIMIT = b'server-limit'
+# Present with the value 1 in all responses of an upstream that is leaving.
+LEAVING = b'server-leaving'
+# In a 503 response of an upstream: seconds, which may have a fraction, for
+# which it wants no request from this VM.
+RETRY_AFTER = b'retry-after'
 
 _HOP_BY_HOP = frozenset(
     [
@@ -66,6 +74,7 @@
         b'upgrade',
     ]
 )
+_SECONDS = re.compile(r'[0-9]+(\.[0-9]+)?')
 _RESERVED = frozenset(
     [
         API_KEY,
@@ -82,6 +91,8 @@
     ]
 )
 MISDIRECTED = 421
+TURNED_AWAY = 503
+MS_PER_SECOND = 1_000.0
 MAX_TOKENS = 2**31
 READINESS_PATH = b'/api/readiness'
 
@@ -187,6 +198,34 @@
     return result.Ok(per_s)
 
 
+def states_leaving(headers: Headers) -> bool:
+    """Return whether a response says that its upstream is leaving."""
+    return _decode_text(_lowercase_names(headers).get(LEAVING)) == '1'
+
+
+def stated_pause_ms(
+    status: int, headers: Headers
+) -> result.Result[float | None, exceptions.MalformedAnswerError]:
+    """Return how long an upstream wants no request, or None.
+
+    Args:
+        status: Status of the response.
+        headers: Pairs of name and value.
+    """
+    stated = [
+        _decode_text(value)
+        for name, value in headers
+        if name.lower() == RETRY_AFTER
+    ]
+    if status != TURNED_AWAY or not stated:
+        return result.Ok(None)
+    if len(stated) > 1 or not _SECONDS.fullmatch(stated[0]):
+        return result.Err(
+            decoding.unreadable('the pause', f'no duration: {stated}')
+        )
+    return result.Ok(float(stated[0]) * MS_PER_SECOND)
+
+
 def _lowercase_names(headers: Headers) -> dict[bytes, bytes]:
     return {name.lower(): value for name, value in headers}
 
--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -1,14 +1,20 @@
 """Choice of the engine for a run and of the engine for its backup copy.
 
-A run goes to the engine with the least expected delay. The copy of its
-memory goes to the engine with the lowest memory use in the same region,
+A run goes to an engine with the least expected delay. The copy of its
+memory goes to an engine with the lowest memory use in the same region,
 because the transfer over the link between regions would take minutes. A
 run that should have a copy prefers a region in which one can be kept.
+
+Many VMs choose before they hear of each other's choices. Among engines
+that are equally good but for small differences, each run has an order of
+its own, so that runs that are placed together go to different engines.
 """
 
+import collections
 import collections.abc
 
 import msgspec
+import xxhash
 
 from eelgrassknot import ids
 from eelgrassknot.policy import commitments
@@ -37,10 +43,16 @@
 SOLE_ENGINE_DELAY_PER_TOKEN_MS = 3.0
 """Delay equivalent of each output token on the only engine of a region,
 whose runs are lost if it fails; ms."""
+EQUIVALENT_DELAY_MS = 30.0
+"""Difference of delays up to which engines count as equally good; ms. That
+of two runs, or of a fifth of a mean prompt."""
+EQUIVALENT_FILL_SHARE = 0.25
+"""The same for copies: difference of the shares of memory in use, about
+that of two runs."""
 MAX_COPY_FILL_SHARE = 0.75
 """Share of an engine's memory up to which copies may be added. The rest is
 reserved for runs, including runs moved from other engines."""
-OTHER_ZONE_PENALTY_SHARE = 0.15
+OTHER_ZONE_PENALTY_SHARE = 0.3
 """Penalty for a copy in another zone, as a share of the engine's memory. A
 transfer between zones takes twice as long."""
 
@@ -94,6 +106,7 @@
     need: RunRequirements,
     engines: collections.abc.Sequence[Engine],
     sums: Sums,
+    spread_key: str | None = None,
 ) -> Engine | None:
     """Return the engine for a run, or None if none has room.
 
@@ -101,13 +114,19 @@
         need: Requirements of the run.
         engines: Engines that accept work.
         sums: Commitments at each engine.
+        spread_key: Selects one of several equally good engines, or None
+            for the best.
     """
     candidates = [e for e in engines if has_room(need.tokens, e, sums)]
     if not candidates:
         return None
-    return min(
-        candidates, key=lambda engine: _delay_ms(need, engine, engines, sums)
-    )
+    risks = _LossRisk(need, engines, sums) if need.wants_copy else None
+    delays_ms = [
+        _delay_ms(need, engine, sums)
+        + (risks.delay_ms(engine) if risks else 0.0)
+        for engine in candidates
+    ]
+    return _choose(candidates, delays_ms, EQUIVALENT_DELAY_MS, spread_key)
 
 
 def choose_copy(
@@ -116,6 +135,7 @@
     engines: collections.abc.Sequence[Engine],
     sums: Sums,
     must_fit: bool = True,
+    spread_key: str | None = None,
 ) -> Engine | None:
     """Return the engine for the copy of a run, or None if there is none.
 
@@ -127,6 +147,8 @@
         must_fit: Whether only engines with room qualify. If not, a run
             that would otherwise be lost may go to the least filled engine
             even without room, since most runs end before their forecast.
+        spread_key: Selects one of several equally good engines, or None
+            for the best.
     """
     same_region = [
         engine
@@ -149,7 +171,12 @@
             share += OTHER_ZONE_PENALTY_SHARE
         return share
 
-    return min(candidates, key=fill_share)
+    return _choose(
+        candidates,
+        [fill_share(engine) for engine in candidates],
+        EQUIVALENT_FILL_SHARE,
+        spread_key,
+    )
 
 
 def has_room(tokens: int, engine: Engine, sums: Sums) -> bool:
@@ -172,33 +199,72 @@
     return present.tokens + present.copy_tokens
 
 
-def _delay_ms(
-    need: RunRequirements,
-    engine: Engine,
+def _choose(
     engines: collections.abc.Sequence[Engine],
-    sums: Sums,
-) -> float:
+    costs: collections.abc.Sequence[float],
+    equivalent: float,
+    spread_key: str | None,
+) -> Engine:
+    """Return the cheapest engine, or one that is hardly more expensive."""
+    limit = min(costs)
+    if spread_key is None:
+        return engines[costs.index(limit)]
+    return max(
+        (
+            engine
+            for engine, cost in zip(engines, costs, strict=True)
+            if cost <= limit + equivalent
+        ),
+        key=lambda engine: xxhash.xxh64_intdigest(
+            f'{engine.upstream}\0{spread_key}'.encode()
+        ),
+    )
+
+
+def _delay_ms(need: RunRequirements, engine: Engine, sums: Sums) -> float:
     present = sums.get(engine.upstream, _NO_SUMS)
     delay_ms = present.unread_tokens / PREFILL_TOKENS_PER_MS
     delay_ms += present.runs * RUN_DELAY_MS
     delay_ms += engine.warm_up_ms * WARM_UP_DELAY_SHARE
     if engine.region != need.region:
         delay_ms += CROSS_REGION_DELAY_MS
-    if need.wants_copy:
-        delay_ms += _loss_risk_delay_ms(need, engine, engines, sums)
     return delay_ms
 
 
-def _loss_risk_delay_ms(
-    need: RunRequirements,
-    engine: Engine,
-    engines: collections.abc.Sequence[Engine],
-    sums: Sums,
-) -> float:
-    """Return the delay equivalent of the risk of losing the run."""
-    regions = [other.region for other in engines]
-    if regions.count(engine.region) < 2:
-        return SOLE_ENGINE_DELAY_PER_TOKEN_MS * need.output_tokens
-    if choose_copy(need.tokens, engine, engines, sums) is None:
-        return NO_COPY_DELAY_MS
-    return 0.0
+class _LossRisk:
+    """Delay equivalent of the risk of losing a run, by engine.
+
+    Args:
+        need: Requirements of the run.
+        engines: Engines that accept work.
+        sums: Commitments at each engine.
+    """
+
+    def __init__(
+        self,
+        need: RunRequirements,
+        engines: collections.abc.Sequence[Engine],
+        sums: Sums,
+    ) -> None:
+        self.sole_delay_ms = (
+            SOLE_ENGINE_DELAY_PER_TOKEN_MS * need.output_tokens
+        )
+        self.sizes = collections.Counter(each.region for each in engines)
+        self.hosts = {
+            engine.upstream
+            for engine in engines
+            if has_room_for_copy(need.tokens, engine, sums)
+        }
+        self.hosts_by_region = collections.Counter(
+            engine.region
+            for engine in engines
+            if engine.upstream in self.hosts
+        )
+
+    def delay_ms(self, engine: Engine) -> float:
+        """Return the delay equivalent for a run on an engine; ms."""
+        if self.sizes[engine.region] < 2:
+            return self.sole_delay_ms
+        others = self.hosts_by_region[engine.region]
+        others -= engine.upstream in self.hosts
+        return 0.0 if others else NO_COPY_DELAY_MS
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import itertools
+import random
 
 import msgspec
 
@@ -17,6 +18,7 @@
 from eelgrassknot.policy import engine_pairs
 from eelgrassknot.policy import health
 from eelgrassknot.policy import send_permits
+from eelgrassknot.policy import upstream_pauses
 from eelgrassknot import states
 
 __all__ = ['EngineQueue', 'PlacementRequest', 'Placement', 'Refusal']
@@ -66,6 +68,7 @@
     Args:
         health_tracker: Health of the engines.
         permits: Permits to send to limited engines.
+        pauses: Pauses that engines have stated.
 
     Attributes:
         engines: Engines of each service that accept work.
@@ -76,7 +79,9 @@
         self,
         health_tracker: health.HealthTracker,
         permits: send_permits.PermitView | None = None,
+        pauses: upstream_pauses.PauseTable | None = None,
     ) -> None:
+        self.pauses = pauses or upstream_pauses.PauseTable(random.Random(0))
         self.health_tracker = health_tracker
         self.permits = permits or send_permits.PermitView()
         self.engines: dict[
@@ -118,6 +123,7 @@
                 order.need,
                 [e for e in candidates if not self._permit_wait_ms(e)],
                 sums,
+                order.request,
             )
             wait_ms = self._limited_wait_ms(candidates, ahead[order.service])
             if engine is not None:
@@ -126,6 +132,14 @@
                 results.append(Placement(order.request, engine))
             elif now_ms >= order.deadline_ms:
                 results.append(Refusal(order.request, RETRY_AFTER_MS))
+            elif now_ms + self._pause_ms(order, now_ms) > order.deadline_ms:
+                results.append(
+                    Refusal(
+                        order.request,
+                        self._pause_ms(order, now_ms),
+                        states.RefusalReason.UPSTREAM_PAUSE,
+                    )
+                )
             elif now_ms + wait_ms > order.deadline_ms:
                 results.append(
                     Refusal(
@@ -142,6 +156,7 @@
 
     def place_copy(
         self,
+        request: ids.RequestId,
         service: ids.ServiceName,
         primary: engine_pairs.Location,
         tokens: int,
@@ -152,6 +167,7 @@
         """Return the engine for the copy of a run, or None.
 
         Args:
+            request: The running request.
             service: The service.
             primary: Location of the run.
             tokens: Memory that the run needs when it completes.
@@ -174,6 +190,7 @@
             ],
             self.commitments.all_sums(now_ms),
             must_fit,
+            request,
         )
 
     def _candidates(
@@ -183,6 +200,7 @@
             engine
             for engine in self.engines.get(order.service, ())
             if engine.upstream not in order.excluded
+            and not self.pauses.wait_ms(engine.upstream, now_ms)
         ]
         names = [engine.upstream for engine in engines]
         usable = set(
@@ -190,6 +208,15 @@
         )
         return [e for e in engines if e.upstream in usable]
 
+    def _pause_ms(self, order: PlacementRequest, now_ms: float) -> float:
+        """Return how long all engines for a stream are paused; ms."""
+        names = [
+            engine.upstream
+            for engine in self.engines.get(order.service, ())
+            if engine.upstream not in order.excluded
+        ]
+        return self.pauses.earliest_ms(names, now_ms)
+
     def _permit_wait_ms(self, engine: engine_pairs.Engine) -> float:
         return self.permits.wait_ms(engine.upstream)
 
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -178,6 +178,11 @@
             or None.
         connections: Number of accepted connections.
         limit_per_s: Request limit that all answers state, or None.
+        is_leaving: Whether all answers say that the server is leaving.
+        pause_s: Time that the server states when it turns a request away,
+            or None if it takes requests.
+        turned_away_s: When it turned each request away, on the monotonic
+            clock.
         arrivals_s: Arrival of each request, on the monotonic clock.
         unended: Endless responses that the peer has not cut off.
         deadly_parts: Parts of prompts that crash the server when it
@@ -200,6 +205,9 @@
         self.bodies: list[bytes] = []
         self.connections = 0
         self.limit_per_s: float | None = None
+        self.is_leaving = False
+        self.pause_s: float | None = None
+        self.turned_away_s: list[float] = []
         self.arrivals_s: list[float] = []
         self.unended: list[users_http.Handler] = []
         self.deadly_parts: set[str] = set()
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -30,6 +30,8 @@
         limit_per_s = self.server.owner.limit_per_s
         if limit_per_s is not None:
             self.send_header('Server-Limit', str(limit_per_s))
+        if self.server.owner.is_leaving:
+            self.send_header('Server-Leaving', '1')
         super().end_headers()
 
     def do_GET(self) -> None:
@@ -54,6 +56,11 @@
         elif self.headers['Expect-Instance'] != upstream.name:
             headers = {'Request-Id': request, 'Instance-Id': upstream.name}
             self.answer(421, headers, b'')
+        elif upstream.pause_s is not None:
+            upstream.turned_away_s.append(time.monotonic())
+            self.refuse(
+                {'Request-Id': request, 'Retry-After': str(upstream.pause_s)}
+            )
         elif fault == 'shed':
             self.refuse({})
         elif fault == 'refusal':
--- a/tests/forwarding/knowledge.feature
+++ b/tests/forwarding/knowledge.feature
@@ -36,6 +36,23 @@
   Scenario: replicas converge after restorations of the store
     Then 500 random histories of a store that is restored converge to its contents
 
+  # "The servers of a large fleet come and go": each VM fetches each change
+  # from a peer.
+  Scenario Outline: replicas converge when peers hand over only changes
+    Then 500 random histories converge when peers hand over only changes and remember <count> removals
+
+    Examples:
+      | count |
+      | 1     |
+      | 512   |
+
+  Scenario: a VM that is behind fetches only what has changed
+    Given a VM with a table of 60 servers of which a peer has all but one
+    When the peer fetches the table
+    Then it receives 1 row and has the table
+    When a peer of an earlier release fetches the table
+    Then it receives 60 rows
+
   Scenario: an older snapshot changes nothing
     Given a replica of the table up to version 9
     When the snapshot of version 7 arrives
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -115,6 +115,7 @@
             watermarks=tuple,
             urgent_versions=tuple,
             newest_state=None,
+            announced_leaving=(),
         )
         self.peer_load = peer_load.PeerLoad(self.scheduler, pool, loop)
         store_clock = access.StoreClock()
--- a/tests/policy/engine_pairs.feature
+++ b/tests/policy/engine_pairs.feature
@@ -51,6 +51,20 @@
     When their sums are never announced
     Then some engine has more runs than with announcements
 
+  # "Hundreds of VMs place few streams each on many engines that are nearly
+  # idle": none of them has heard of the others' latest placements. An engine
+  # reads 8 mean prompts within the objective of 1500 ms, and has room for 8 copies.
+  Scenario: placements that do not know of each other go to different engines
+    Given 195 VMs and 60 engines in two regions, which are nearly idle
+    When 28 streams a second are placed and are known elsewhere 700 ms later
+    Then at most 8 streams begin at one engine within 700 ms
+    And at most 8 copies begin at one engine within 700 ms
+
+  Scenario: a placement avoids an engine that is busier than others
+    Given 195 VMs and 60 engines in two regions, which are nearly idle
+    And all engines but e7 have 4 runs of 3000 tokens, all unread
+    Then each of 50 runs of 3000 tokens goes to e7
+
   Scenario: streams are placed by rank and refused at their deadline
     Given a queue in which a rank-1 and then a rank-0 run wait
     When room for one run becomes free
--- a/tests/steps/forwarding_knowledge.py
+++ b/tests/steps/forwarding_knowledge.py
@@ -4,17 +4,23 @@
 import importlib
 import pkgutil
 import random
+import unittest.mock
 
 import behave
 
+from eelgrassknot.coordination import peer_messages as messages
 from eelgrassknot.forwarding import access
 from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import peer_rows
 from eelgrassknot.forwarding import routing
 from eelgrassknot.forwarding import row_store
 from eelgrassknot.forwarding import sse
 from eelgrassknot.forwarding import table_replica
 from eelgrassknot.forwarding import upstream_directory
+from eelgrassknot.kernel import registry
 from eelgrassknot import states
+from tests import peer_world
+from tests.steps import forwarding_peers
 
 
 @behave.then('at least {count:d} doctests of "{package}" pass')
@@ -181,6 +187,20 @@
         _run_history(random.Random(seed), 0.0)
 
 
+@behave.then(
+    '{count:d} random histories converge when peers hand over only changes '
+    'and remember {removals:d} removals'
+)
+def replicas_converge_by_changes(context, count, removals):
+    with unittest.mock.patch.object(table_replica, 'MAX_REMOVALS', removals):
+        handed_over = 0
+        for seed in range(count):
+            context.handed_over = 0
+            _run_history(random.Random(seed), 0.05, context)
+            handed_over += context.handed_over
+    assert handed_over >= count / 10, handed_over
+
+
 @behave.then(
     '{count:d} random histories of a store that is restored converge to its '
     'contents'
@@ -192,8 +212,14 @@
     assert max(restorations) >= 3, restorations
 
 
-def _run_history(generator, restoration_share):
-    """Run one history; return the number of restorations."""
+def _run_history(generator, restoration_share, counts=None):
+    """Run one history; return the number of restorations.
+
+    Args:
+        generator: Random number generator.
+        restoration_share: Share of the steps at which the store is restored.
+        counts: Its ``handed_over`` counts the changes handed over by peers.
+    """
     reference = _ReferenceTable(generator)
     replicas = [table_replica.TableReplica() for _ in range(3)]
     delayed = []
@@ -218,7 +244,9 @@
             after, page = delayed.pop(position)
             _apply(replica, after, page)
         else:
-            _send_watermark(generator.choice(replicas), replica)
+            handed_over = _send_watermark(generator.choice(replicas), replica)
+            if counts is not None:
+                counts.handed_over += handed_over
         for each in replicas:
             _check_replica(reference, each)
     for replica in replicas:
@@ -237,14 +265,23 @@
 def _send_watermark(sender, receiver):
     """Send a watermark to another VM, and the table if that VM is behind."""
     if sender.watermark is None or receiver.confirm(sender.watermark):
-        return
+        return 0
+    changes = None
+    if receiver.watermark is not None:
+        timeline, after = receiver.watermark.position
+        changes = sender.changes_after(after, timeline)
+    rows = tuple(sender.rows.values()) if changes is None else changes
     page = row_store.RowPage(
-        tuple(sender.rows.values()),
+        rows,
         sender.watermark.version,
         sender.watermark.store_ms,
         sender.watermark.timeline,
     )
-    receiver.apply_snapshot(page, sender.watermark.last_change)
+    if changes is None:
+        receiver.apply_snapshot(page, sender.watermark.last_change)
+        return 0
+    receiver.apply_changes(after, page)
+    return 1
 
 
 def _check_replica(reference, replica):
@@ -426,3 +463,59 @@
     splitter = sse.EventSplitter()
     splitter.feed(end.encode().decode('unicode_escape').encode())
     assert splitter.is_inside_event == (state == 'inside an event'), end
+
+
+@behave.given(
+    'a VM with a table of {count:d} servers of which a peer has all but one'
+)
+def peer_is_behind(context, count):
+    registry.load_plugins('eelgrassknot.platform')
+    loop = peer_world.SimulatedLoop()
+    context.state = forwarding_peers._create_state('vm-0', [], loop)
+    context.replica = table_replica.TableReplica()
+    rows = tuple(
+        row_store.StoreRow(f'u{number}', b'{}', number, False)
+        for number in range(1, count + 1)
+    )
+    page = row_store.RowPage(rows[:-1], count - 1, 0.0)
+    context.served = context.state.tables['servers'].replica
+    for replica in (context.replica, context.served):
+        replica.apply_snapshot(page, count - 1)
+    context.served.apply_changes(
+        count - 1, row_store.RowPage(rows[-1:], count, 1.0)
+    )
+
+
+def _fetch(context, **more):
+    version = context.replica.watermark.version
+    query = messages.RowsFetch('servers', version, 0, **more)
+    context.reply = context.state._serve_fetch('vm-1', query)
+    context.received = peer_rows.decode(context.reply.rows).ok_value
+
+
+@behave.when('the peer fetches the table')
+def peer_fetches(context):
+    _fetch(context, accepts_changes=True)
+
+
+@behave.when('a peer of an earlier release fetches the table')
+def earlier_peer_fetches(context):
+    context.replica = table_replica.TableReplica()
+    page = row_store.RowPage((), 1, 0.0)
+    context.replica.apply_snapshot(page, 1)
+    _fetch(context)
+    assert context.reply.after is None
+
+
+@behave.then('it receives {count:d} row and has the table')
+def has_table(context, count):
+    assert len(context.received) == count, context.received
+    mark = context.reply.mark
+    page = row_store.RowPage(context.received, mark.version, mark.store_ms)
+    context.replica.apply_changes(context.reply.after, page)
+    assert context.replica.rows == context.served.rows
+
+
+@behave.then('it receives {count:d} rows')
+def receives(context, count):
+    assert len(context.received) == count, context.received
--- a/tests/steps/forwarding_upstream_connection.py
+++ b/tests/steps/forwarding_upstream_connection.py
@@ -108,7 +108,9 @@
             connections=context.pool,
             dialect=plugin.DIALECT,
             permits=send_permits.PermitView(),
-            limits=types.SimpleNamespace(request_sent=lambda *_: None),
+            statements=types.SimpleNamespace(
+                request_sent=lambda *_: None, wait_ms=lambda _: 0.0
+            ),
         ),
         kv_transfer.TransferPlan(RUN, place, place),
         lambda _, handle: context.handles.append(handle),
--- a/tests/steps/policy_engine_pairs.py
+++ b/tests/steps/policy_engine_pairs.py
@@ -240,3 +240,117 @@
 def other_refused(context):
     assert isinstance(context.results[0], engine_queue.Refusal)
     assert context.results[0].request == 'q1'
+
+
+FLEET_ENGINES = 60
+FLEET_RATE_PER_S = 28
+FLEET_SECONDS = 20
+FLEET_RUN_MS = 4_000.0
+
+
+@behave.given(
+    '{vms:d} VMs and 60 engines in two regions, which are nearly idle'
+)
+def large_fleet(context, vms):
+    context.fleet_vms = vms
+    context.engines = [
+        engine_pairs.Engine(
+            f'e{number}', 'rq'[number % 2], f'z{number % 6}', 34_000, 24
+        )
+        for number in range(FLEET_ENGINES)
+    ]
+    context.sums = {}
+
+
+@behave.given(
+    'all engines but {name:w} have {count:d} runs of {tokens:d} tokens, all '
+    'unread'
+)
+def others_busy(context, name, count, tokens):
+    total = count * tokens
+    context.sums = {
+        engine.upstream: commitments.EngineSums(count, total, 0, total)
+        for engine in context.engines
+        if engine.upstream != name
+    }
+
+
+@behave.then('each of {count:d} runs of {tokens:d} tokens goes to {name:w}')
+def each_goes_to(context, count, tokens, name):
+    need = engine_pairs.RunRequirements('r', tokens, 0, False)
+    for number in range(count):
+        chosen = engine_pairs.choose_engine(
+            need, context.engines, context.sums, f'request-{number}'
+        )
+        assert chosen.upstream == name, chosen
+
+
+@behave.when(
+    '{rate:d} streams a second are placed and are known elsewhere '
+    '{delay:d} ms later'
+)
+def place_streams(context, rate, delay):
+    generator = random.Random(7)
+    end_ms = FLEET_SECONDS * 1_000.0
+    arrivals = sorted(
+        (
+            generator.uniform(0.0, end_ms),
+            generator.randrange(context.fleet_vms),
+        )
+        for _ in range(rate * FLEET_SECONDS)
+    )
+    context.begun, context.copied, placed = [], [], []
+    for number, (now_ms, vm) in enumerate(arrivals):
+        visible = [
+            run
+            for since_ms, owner, run in placed
+            if now_ms - since_ms < FLEET_RUN_MS
+            and (owner == vm or now_ms - since_ms > delay)
+        ]
+        known = commitments.Commitments()
+        for index, run in enumerate(visible):
+            known.commit(index, run)
+        sums = known.all_sums(now_ms)
+        need = engine_pairs.RunRequirements('rq'[vm % 2], 2_600, 500, True)
+        engine = engine_pairs.choose_engine(
+            need, context.engines, sums, f'request-{number}'
+        )
+        copy = engine_pairs.choose_copy(
+            need.tokens,
+            engine,
+            context.engines,
+            sums,
+            spread_key=f'request-{number}',
+        )
+        run = commitments.Commitment(
+            engine.upstream, copy.upstream, 2_600, 500, started=True
+        )
+        placed.append((now_ms, vm, run))
+        context.begun.append((now_ms, engine.upstream))
+        context.copied.append((now_ms, copy.upstream))
+
+
+def _most_within(begun, window_ms):
+    return max(
+        sum(
+            other == engine and 0 <= since_ms - now_ms < window_ms
+            for since_ms, other in begun
+        )
+        for now_ms, engine in begun
+    )
+
+
+@behave.then(
+    'at most {count:d} streams begin at one engine within {window:d} ms'
+)
+def few_begin(context, count, window):
+    found = _most_within(context.begun, window)
+    assert found <= count, found
+
+
+@behave.then(
+    'at most {count:d} copies begin at one engine within {window:d} ms'
+)
+def few_copies(context, count, window):
+    found = _most_within(context.copied, window)
+    assert found <= count, found
