Upstreams: one whose address belongs to another process is not used until its entry is renewed

Change: a 421 counts as the word that the process of the entry is gone, here and for the peers of the zone, until the entry has a later start, another address, or turns from leaving to live.

--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -122,7 +122,7 @@
         if self.context.dialect.declares_not_executed(
             self.status, self.upstream_headers
         ):
-            self.eject_if_misdirected(self.upstream.upstream, self.status)
+            self.eject_if_misdirected(self.upstream, self.status)
             self._dispatch(messages.NotRun(self.machine.attempt))
             return
         if not self._is_signed():
--- a/eelgrassknot/forwarding/machine_driver.py
+++ b/eelgrassknot/forwarding/machine_driver.py
@@ -5,7 +5,6 @@
 from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import model
 from eelgrassknot.forwarding import work as works
-from eelgrassknot import ids
 
 __all__ = ['StateMachine', 'MachineDriver']
 
@@ -54,16 +53,19 @@
         raise NotImplementedError
 
     def eject_if_misdirected(
-        self, upstream: ids.UpstreamId, status: int
+        self, upstream: model.Upstream, status: int
     ) -> bool:
         """Eject an upstream whose address belongs to another process.
 
+        No VM uses it until its entry is renewed.
+
         Returns:
             Whether the status says so.
         """
         if status != model.MISDIRECTED_REQUEST:
             return False
-        self.context.health.eject(upstream, self.now_ms())
+        self.context.health.eject(upstream.upstream, self.now_ms())
+        self.context.statements.misdirected(upstream)
         return True
 
     def schedule_timeout(self) -> None:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -142,7 +142,7 @@
         ):
             self._log_attempt(attempt, f'not_run_{attempt.status}')
             misdirected = self.eject_if_misdirected(
-                attempt.upstream.upstream, attempt.status
+                attempt.upstream, attempt.status
             )
             self.dispatch(messages.NotRun(attempt.number, misdirected))
             return
--- a/eelgrassknot/forwarding/upstream_directory.py
+++ b/eelgrassknot/forwarding/upstream_directory.py
@@ -41,8 +41,8 @@
         warm_until_ms: When each upstream reaches its full speed.
         departed: Upstreams that have left, with the start of their process,
             oldest first.
-        announced: Upstreams that have said in a response that they are
-            leaving, with the start of their process, oldest first.
+        announced: Upstreams of which a response has shown that they are
+            leaving or gone, with the start of their process, oldest first.
         listed_states: State of each upstream in its entry.
         outdated: Entries of a restored store that contradict what is known,
             with the time from which they count. The store removes that of a
@@ -70,10 +70,11 @@
         self.store_recovered_ms = now_ms
 
     def announce_leaving(self, name: str, started_at_ms: int) -> bool:
-        """Handle an upstream's word that it is leaving.
+        """Handle a response by which an upstream is leaving or gone.
 
-        It counts until the upstream is restarted, or its entry turns from
-        leaving to live: an entry that says live may be older.
+        It counts until the upstream is restarted, moves to another address,
+        or its entry turns from leaving to live: an entry that says live may
+        be older.
 
         Args:
             name: The upstream.
@@ -92,7 +93,7 @@
             del self.announced[next(iter(self.announced))]
         if known.state is states.UpstreamState.LEAVING:
             return False
-        logs.event('upstream_said_leaving', upstream=name)
+        logs.event('upstream_announced_leaving', upstream=name)
         self.upstreams[name] = _as_leaving(known)
         self.on_leaving(name)
         return True
@@ -102,6 +103,9 @@
         name = upstream.upstream
         before = self.listed_states.get(name)
         self.listed_states[name] = upstream.state
+        known = self.upstreams.get(name)
+        if known is not None and known.address != upstream.address:
+            self.announced.pop(name, None)
         if self.announced.get(name) != upstream.started_at_ms:
             self.announced.pop(name, None)
             return upstream
--- a/eelgrassknot/forwarding/upstream_statements.py
+++ b/eelgrassknot/forwarding/upstream_statements.py
@@ -78,6 +78,11 @@
         self.limits.request_sent(upstream, request, purpose, attempt)
         self.pauses.request_sent(upstream.upstream, self.loop.now_ms())
 
+    def misdirected(self, upstream: model.Upstream) -> None:
+        """Record that another process answers at an upstream's address."""
+        logs.event('upstream_misdirected', upstream=upstream.upstream)
+        self.announce_leaving(upstream.upstream, upstream.started_at_ms)
+
     def wait_ms(self, upstream: ids.UpstreamId) -> float:
         """Return how long an upstream wants nothing from this VM; ms."""
         return self.pauses.wait_ms(upstream, self.loop.now_ms())
--- a/tests/forwarding/drain.feature
+++ b/tests/forwarding/drain.feature
@@ -21,6 +21,23 @@
     And a booking with a time limit of 1000 ms is sent on a new connection
     Then it is answered 200 and its connection is closed
 
+  # Guards against requests, among them some that may not be repeated, that are
+  # taken late in the grace period and cut at its end.
+  Scenario Outline: a late booking gets an answer although its server works longer than what is left
+    Given a stream that its engine never answers
+    And servers that answer no further booking
+    When SIGTERM is sent and <passed> s pass
+    And a booking with a time limit of <limit> ms is sent on a new connection
+    Then it is answered <status> as <outcome> and its connection is closed
+    And the VM exits with code 0 within its grace period
+
+    Examples:
+      | passed | limit | status | outcome |
+      | 1.5    | 1500  | 504    | unknown |
+      | 2.5    | 1500  | 504    | unknown |
+      | 2.5    | 4000  | 503    | not_run |
+      | 3.5    | 1500  | 503    | not_run |
+
   # Guards against a reset in place of a final answer.
   Scenario: a request without an answer gets one before a draining VM exits
     Given a stream that its engine never answers
--- a/tests/forwarding/upstream_statements.feature
+++ b/tests/forwarding/upstream_statements.feature
@@ -58,6 +58,20 @@
     When an earlier process of u1 says that it is leaving
     Then the state of u1 is live at 300 ms
 
+  # Guards against a server that is used again on probation although another
+  # process answers at its address.
+  Scenario Outline: a server whose address belongs to another process is not used until its entry is renewed
+    Given two VMs that have the upstream u1
+    When a request of the first of them to u1 is answered 421
+    Then what it publishes makes it leaving for the other
+    When both read an entry of u1 with <change>
+    Then u1 is live for both
+
+    Examples:
+      | change          |
+      | another address |
+      | a later start   |
+
   # Guards against a VM that learns of the leaving only from its own requests.
   Scenario: peers are told that a server is leaving
     Given two VMs that have the upstream u1
--- a/tests/steps/forwarding_drain.py
+++ b/tests/steps/forwarding_drain.py
@@ -189,6 +189,24 @@
         engine.faults.append('hang')
 
 
+@behave.given('servers that answer no further booking')
+def hung_desks(context):
+    for desk in context.desks:
+        desk.faults.append('hang')
+
+
+@behave.then(
+    'it is answered {status:d} as {outcome:w} and its connection is closed'
+)
+def answered_as(context, status, outcome):
+    answer = context.answer
+    assert answer.status == status, (answer.status, context.entry.log())
+    assert json.loads(answer.body)['error']['outcome'] == outcome
+    ran = context.platform.runs[context.request]
+    assert ran == (outcome == 'unknown'), ran
+    _assert_closed(context)
+
+
 @behave.given('a connection on which a stream is being answered')
 def busy_connection(context):
     context.caller = _caller(context)
--- a/tests/steps/forwarding_upstream_statements.py
+++ b/tests/steps/forwarding_upstream_statements.py
@@ -158,3 +158,36 @@
     other._receive_peer_load('vm-0', decoded)
     leaving = states.UpstreamState.LEAVING
     assert other.directory.upstreams['u1'].state is leaving
+
+
+@behave.when('a request of the first of them to u1 is answered 421')
+def answered_421(context):
+    state = context.states[0]
+    reader = upstream_statements.StatementReader(
+        plugin.DIALECT,
+        context.loop,
+        limit_monitor.LimitMonitor(
+            plugin.DIALECT, context.loop, access.StoreClock()
+        ),
+        upstream_pauses.PauseTable(random.Random(1)),
+        state.announce_leaving,
+    )
+    reader.misdirected(state.directory.upstreams['u1'])
+
+
+@behave.when('both read an entry of u1 with {change}')
+def both_read(context, change):
+    changes = {
+        'another address': {'address': '10.0.0.9:80'},
+        'a later start': {'started_at_ms': 9},
+    }[change]
+    for state in context.states:
+        entry = msgspec.structs.replace(UPSTREAM, **changes)
+        state.directory.put(entry, 0.0)
+
+
+@behave.then('u1 is live for both')
+def live_for_both(context):
+    for state in context.states:
+        found = state.directory.upstreams['u1']
+        assert found.state is states.UpstreamState.LIVE, found
