Large fleets: a stream considers two engines of a region; changes are sent to the peers

Change: where VMs are linked by zone, a run considers two engines of each region (copies: of each zone), chosen by its hash; the least busy of them is used. A run that would fill an engine beyond 80% goes there only if all considered are so full; copies are made up to 60% of the memory (75% before). The state is polled every 2 s.

--- a/eelgrassknot/coordination/peer_messages.py
+++ b/eelgrassknot/coordination/peer_messages.py
@@ -36,6 +36,7 @@
     'Request',
     'RowEntry',
     'RowsFetch',
+    'RowsNews',
     'RowsReply',
     'TableMark',
     'ZoneLoad',
@@ -359,6 +360,19 @@
     after: int | None = None
 
 
+class RowsNews(msgspec.Struct, array_like=True, tag=18, frozen=True):
+    """Changes of a table, sent by the VM that has read them in the store.
+
+    Attributes:
+        rows: The changed rows as one msgpack array, compressed with zlib.
+        after: Version after which they are all changes.
+    """
+
+    mark: TableMark
+    rows: bytes
+    after: int
+
+
 Query = ConfigFetch | OwnerQuery | ListFetch | RowsFetch
 
 
@@ -399,6 +413,7 @@
     | ZoneNews
     | PermitRequest
     | PermitReply
+    | RowsNews
 )
 
 
--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -62,6 +62,9 @@
 ANSWER_RESERVE_MS = 400.0
 """How long before the end of the grace period every request must have
 ended; ms."""
+FLEET_SAMPLE_SIZE = 2
+"""Number of engines of a region that a stream considers if the VMs are not
+all linked with each other."""
 EXIT_RESERVE_MS = 100.0
 """How long before the end of the grace period the process exits; ms."""
 
@@ -291,6 +294,10 @@
     ) -> None:
         """Record the load of a peer at each upstream."""
         self.zone_digests.record_direct_contact(message.availability_zone)
+        membership = self.replicated_state.peers.membership
+        self.scheduler.queue.sample_size = (
+            None if membership.is_full_mesh else FLEET_SAMPLE_SIZE
+        )
         self.peer_load.update(('vm', vm), message)
         self.permits.receive_news(vm, message)
         self.limits.receive(
--- a/eelgrassknot/forwarding/replicated_state.py
+++ b/eelgrassknot/forwarding/replicated_state.py
@@ -30,7 +30,7 @@
 
 __all__ = ['ReplicatedState', 'Listener']
 
-CONFIG_WAIT_MS = 1_500.0
+CONFIG_WAIT_MS = 2_000.0
 """How long one call waits for a new state; ms. Two calls with their
 responses fit into the smallest bound on revoked keys."""
 UPSTREAMS_WAIT_MS = 2_500.0
@@ -274,10 +274,25 @@
                 )
         else:
             changes = table.replica.apply_changes(event.after, page)
+            self._publish_changes(event.table, event.after, page)
         self._apply(event.table, changes)
         # Set before the thread of the watch decides on its next call.
         table.watch.active = self._should_watch(event.table)
 
+    def _publish_changes(
+        self, name: str, after: int, page: row_store.RowPage
+    ) -> None:
+        """Send changes to the peers, which need not fetch them then."""
+        watermark = self.tables[name].replica.watermark
+        if page.rows and watermark.position == page.position:
+            self.peers.broadcast(
+                messages.RowsNews(
+                    _encode_watermark(name, watermark),
+                    peer_rows.encode(page.rows),
+                    after,
+                )
+            )
+
     def _apply(
         self, name: str, changes: table_replica.ChangeSet | None
     ) -> None:
@@ -397,6 +412,7 @@
         for kind, handler in (
             (messages.EntryNews, self._receive_peer_load),
             (messages.ZoneNews, self._receive_zone_load),
+            (messages.RowsNews, self._receive_changes),
             (messages.PermitRequest, self.listener.permit_requested),
             (messages.PermitReply, self.listener.permit_replied),
         ):
@@ -488,17 +504,40 @@
         reply = done.result()
         if not isinstance(reply, messages.RowsReply) or reply.rows is None:
             return
-        match peer_rows.decode(reply.rows):
+        self._apply_peer_rows(reply.mark, reply.rows, reply.after)
+
+    def _receive_changes(
+        self, vm: ids.VmId, message: messages.RowsNews
+    ) -> None:
+        """Apply changes unless earlier ones are missing here.
+
+        Those are fetched when the peer's next watermark arrives.
+        """
+        self.peers.record_contact(vm)
+        table = self.tables.get(message.mark.table)
+        if table is None or table.replica.watermark is None:
+            return
+        known = table.replica.watermark
+        if (
+            known.timeline == message.mark.timeline
+            and message.after <= known.version < message.mark.version
+        ):
+            self._apply_peer_rows(message.mark, message.rows, message.after)
+
+    def _apply_peer_rows(
+        self, watermark: messages.TableMark, packed: bytes, after: int | None
+    ) -> None:
+        """Apply a table, or its changes after a version."""
+        match peer_rows.decode(packed):
             case result.Err(error):
                 logs.warning(
                     'table_from_peer_unreadable',
-                    table=reply.mark.table,
+                    table=watermark.table,
                     why=str(error),
                 )
                 return
             case result.Ok(rows):
                 pass
-        watermark = reply.mark
         page = row_store.RowPage(
             rows, watermark.version, watermark.store_ms, watermark.timeline
         )
@@ -507,10 +546,10 @@
             'table_from_peer', table=watermark.table, version=watermark.version
         )
         self._detect_outage(watermark.table, watermark.store_ms)
-        if reply.after is None:
+        if after is None:
             changes = table.replica.apply_snapshot(page, watermark.changed)
         else:
-            changes = table.replica.apply_changes(reply.after, page)
+            changes = table.replica.apply_changes(after, page)
         self._apply(watermark.table, changes)
 
     def _detect_outage(self, name: str, store_ms: float) -> None:
--- a/eelgrassknot/forwarding/zone_digests.py
+++ b/eelgrassknot/forwarding/zone_digests.py
@@ -24,6 +24,9 @@
 FAR_REGION_ROUNDS = 4
 """Number of rounds between two digests to zones of other regions: the link
 between regions is narrow, and few requests use it."""
+RELAY_SILENCE_MS = 2_000.0
+"""Time without a relay by another gateway of the zone after which this one
+relays the digests of a zone; ms. They expire later."""
 DIRECT_CONTACT_MS = 3_000.0
 """Time for which a zone's digests are ignored after a direct message from
 one of its VMs, so that its load is not counted twice; ms."""
@@ -42,6 +45,8 @@
         direct_contact_ms: Time of the last direct message from a VM of
             each zone.
         to_relay: Digests not yet relayed to this VM's zone.
+        relayed_ms: Time of the last relay of each zone's digest by a gateway
+            of this zone that goes before this one.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self.round = 0
         self.direct_contact_ms: dict[ids.AvailabilityZoneId, float] = {}
         self.to_relay: dict[ids.AvailabilityZoneId, messages.ZoneNews] = {}
+        self.relayed_ms: dict[ids.AvailabilityZoneId, float] = {}
 
     def start(self) -> None:
         """Start publishing."""
@@ -82,16 +88,22 @@
         if zone == self.zone or now_ms - contact_ms <= DIRECT_CONTACT_MS:
             return
         self.peer_load.update(('zone', zone), message)
-        if vm in self.replicated_state.peers.membership.links.remote_gateways:
+        membership = self.replicated_state.peers.membership
+        if vm in membership.links.remote_gateways:
             self.to_relay[zone] = msgspec.structs.replace(message, marks=())
+        elif vm < membership.vm:
+            self.relayed_ms[zone] = now_ms
 
     def _publish(self) -> None:
         self.loop.call_later(PUBLISH_INTERVAL_MS, self._publish)
         self.round += 1
         peers = self.replicated_state.peers
         relayed, self.to_relay = self.to_relay, {}
-        for message in relayed.values():
-            peers.broadcast(message)
+        now_ms = self.loop.now_ms()
+        for zone, message in relayed.items():
+            silent_ms = now_ms - self.relayed_ms.get(zone, float('-inf'))
+            if silent_ms > RELAY_SILENCE_MS:
+                peers.broadcast(message)
         far = self._due_gateways(peers.membership.links.remote_gateways)
         if far:
             peers.send_far(far, self._digest())
--- a/eelgrassknot/policy/engine_pairs.py
+++ b/eelgrassknot/policy/engine_pairs.py
@@ -7,7 +7,12 @@
 
 Many VMs choose before they hear of each other's choices. Among engines
 that are equally good but for small differences, each run has an order of
-its own, so that runs that are placed together go to different engines.
+its own, so that runs that are placed together go to different engines. In a
+deployment whose VMs hear of each other late, each run considers a few
+engines only: an engine that seems to be the best would get all runs.
+
+References:
+    Mitzenmacher, "How Useful Is Old Information?", IEEE TPDS 2000.
 """
 
 import collections
@@ -23,6 +28,7 @@
     'Engine',
     'RunRequirements',
     'Location',
+    'Spread',
     'choose_copy',
     'choose_engine',
 ]
@@ -49,7 +55,11 @@
 EQUIVALENT_FILL_SHARE = 0.25
 """The same for copies: difference of the shares of memory in use, about
 that of two runs."""
-MAX_COPY_FILL_SHARE = 0.75
+CROWDED_FILL_SHARE = 0.8
+"""Share of an engine's memory beyond which runs are added only if all engines
+that are considered are so full. Other VMs may be placing runs there that
+this one does not know of, and a run that does not fit waits at the engine."""
+MAX_COPY_FILL_SHARE = 0.6
 """Share of an engine's memory up to which copies may be added. The rest is
 reserved for runs, including runs moved from other engines."""
 OTHER_ZONE_PENALTY_SHARE = 0.3
@@ -98,6 +108,19 @@
         return self.prompt_tokens + self.output_tokens
 
 
+class Spread(msgspec.Struct, frozen=True):
+    """How runs that are placed at the same time are spread over engines.
+
+    Attributes:
+        key: Selects one of several equally good engines; differs by run.
+        sample_size: Number of engines considered in each region, or of
+            copies in each zone; None for all.
+    """
+
+    key: str
+    sample_size: int | None = None
+
+
 Sums = collections.abc.Mapping[ids.UpstreamId, commitments.EngineSums]
 _NO_SUMS = commitments.EngineSums()
 
@@ -106,7 +129,7 @@
     need: RunRequirements,
     engines: collections.abc.Sequence[Engine],
     sums: Sums,
-    spread_key: str | None = None,
+    spread: Spread | None = None,
 ) -> Engine | None:
     """Return the engine for a run, or None if none has room.
 
@@ -114,19 +137,22 @@
         need: Requirements of the run.
         engines: Engines that accept work.
         sums: Commitments at each engine.
-        spread_key: Selects one of several equally good engines, or None
-            for the best.
+        spread: How runs are spread, or None for the best engine.
     """
     candidates = [e for e in engines if has_room(need.tokens, e, sums)]
     if not candidates:
         return None
+    # Sampled first: all runs would meet at the few engines with much room.
+    candidates = _sample(candidates, spread, lambda engine: engine.region)
+    uncrowded = [e for e in candidates if not _is_crowded(need, e, sums)]
+    candidates = uncrowded or candidates
     risks = _LossRisk(need, engines, sums) if need.wants_copy else None
     delays_ms = [
         _delay_ms(need, engine, sums)
         + (risks.delay_ms(engine) if risks else 0.0)
         for engine in candidates
     ]
-    return _choose(candidates, delays_ms, EQUIVALENT_DELAY_MS, spread_key)
+    return _choose(candidates, delays_ms, EQUIVALENT_DELAY_MS, spread)
 
 
 def choose_copy(
@@ -135,7 +161,7 @@
     engines: collections.abc.Sequence[Engine],
     sums: Sums,
     must_fit: bool = True,
-    spread_key: str | None = None,
+    spread: Spread | None = None,
 ) -> Engine | None:
     """Return the engine for the copy of a run, or None if there is none.
 
@@ -147,8 +173,7 @@
         must_fit: Whether only engines with room qualify. If not, a run
             that would otherwise be lost may go to the least filled engine
             even without room, since most runs end before their forecast.
-        spread_key: Selects one of several equally good engines, or None
-            for the best.
+        spread: How copies are spread, or None for the best engine.
     """
     same_region = [
         engine
@@ -161,6 +186,9 @@
         candidates = same_region
     if not candidates:
         return None
+    candidates = _sample(
+        candidates, spread, lambda engine: engine.availability_zone
+    )
 
     def fill_share(engine: Engine) -> float:
         unread = sums.get(engine.upstream, _NO_SUMS).unread_tokens
@@ -175,7 +203,7 @@
         candidates,
         [fill_share(engine) for engine in candidates],
         EQUIVALENT_FILL_SHARE,
-        spread_key,
+        spread,
     )
 
 
@@ -203,11 +231,11 @@
     engines: collections.abc.Sequence[Engine],
     costs: collections.abc.Sequence[float],
     equivalent: float,
-    spread_key: str | None,
+    spread: Spread | None,
 ) -> Engine:
     """Return the cheapest engine, or one that is hardly more expensive."""
     limit = min(costs)
-    if spread_key is None:
+    if spread is None:
         return engines[costs.index(limit)]
     return max(
         (
@@ -215,12 +243,39 @@
             for engine, cost in zip(engines, costs, strict=True)
             if cost <= limit + equivalent
         ),
-        key=lambda engine: xxhash.xxh64_intdigest(
-            f'{engine.upstream}\0{spread_key}'.encode()
-        ),
+        key=lambda engine: _weight(engine, spread),
     )
 
 
+def _sample(
+    engines: collections.abc.Sequence[Engine],
+    spread: Spread | None,
+    group: collections.abc.Callable[[Engine], str],
+) -> collections.abc.Sequence[Engine]:
+    """Return the engines that a run considers: some of each group."""
+    if spread is None or spread.sample_size is None:
+        return engines
+    ordered = sorted(
+        engines, key=lambda engine: _weight(engine, spread), reverse=True
+    )
+    counts: collections.Counter = collections.Counter()
+    sampled = []
+    for engine in ordered:
+        counts[group(engine)] += 1
+        if counts[group(engine)] <= spread.sample_size:
+            sampled.append(engine)
+    return sampled
+
+
+def _weight(engine: Engine, spread: Spread) -> int:
+    return xxhash.xxh64_intdigest(f'{engine.upstream}\0{spread.key}'.encode())
+
+
+def _is_crowded(need: RunRequirements, engine: Engine, sums: Sums) -> bool:
+    filled = _committed_tokens(engine, sums) + need.tokens
+    return filled > CROWDED_FILL_SHARE * engine.memory_tokens
+
+
 def _delay_ms(need: RunRequirements, engine: Engine, sums: Sums) -> float:
     present = sums.get(engine.upstream, _NO_SUMS)
     delay_ms = present.unread_tokens / PREFILL_TOKENS_PER_MS
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -72,6 +72,8 @@
 
     Attributes:
         engines: Engines of each service that accept work.
+        sample_size: Number of engines that a stream considers in each
+            region, or None for all.
         commitments: Capacity committed at each engine.
     """
 
@@ -87,6 +89,7 @@
         self.engines: dict[
             ids.ServiceName, collections.abc.Sequence[engine_pairs.Engine]
         ] = {}
+        self.sample_size: int | None = None
         self.commitments = commitments.Commitments()
         self.waiting: list[tuple[int, float, int, PlacementRequest]] = []
         self.arrivals = itertools.count()
@@ -123,7 +126,7 @@
                 order.need,
                 [e for e in candidates if not self._permit_wait_ms(e)],
                 sums,
-                order.request,
+                engine_pairs.Spread(order.request, self.sample_size),
             )
             wait_ms = self._limited_wait_ms(candidates, ahead[order.service])
             if engine is not None:
@@ -190,7 +193,7 @@
             ],
             self.commitments.all_sums(now_ms),
             must_fit,
-            request,
+            engine_pairs.Spread(request, self.sample_size),
         )
 
     def _candidates(
--- a/tests/forwarding/peers.feature
+++ b/tests/forwarding/peers.feature
@@ -25,6 +25,19 @@
     Then no VM sends over 150 messages a second about its own load
     And no gateway sends over 400 a second in all
 
+  # "Hundreds of VMs in six zones": each message costs every VM of a zone.
+  Scenario: the digests of other zones are relayed by one gateway of a zone
+    Given 6 zones of 10 entry VMs that exchange their load
+    When the VMs run for 5000 ms
+    Then no ordinary VM receives over 15 digests a second while they run for 5000 ms
+
+  Scenario: the other gateway relays when the first one stops
+    Given 6 zones of 10 entry VMs that exchange their load
+    When the VMs run for 2000 ms
+    And the first gateway of each zone stops and 5000 ms pass
+    And each VM places 5 runs at the engine e1 and 1500 ms pass
+    Then each VM counts 270 runs at e1
+
   Scenario: a gateway that stops is replaced on both sides
     Given 6 zones of 10 entry VMs that exchange their load
     When the VMs run for 2000 ms
@@ -114,6 +127,25 @@
       | EntryNews |
       | ZoneNews  |
 
+  # "The servers of a large fleet come and go": each change would be fetched by
+  # every VM of a zone.
+  Scenario: the VM that reads a change sends it to its peers
+    Given a VM that has the upstream u1 as of 1000 ms, and a peer that watches the table
+    When the peer reads in the store that u1 was removed and u2 added as of 2000 ms
+    Then the VM uses u2 alone and has fetched nothing
+
+  Scenario Outline: changes that do not follow what a VM has are not applied
+    Given a VM that has the upstream u1 as of 1000 ms, and a peer that watches the table
+    When the peer's changes come <how>
+    Then u1 is listed alone and the table is as of 1000 ms
+
+    Examples:
+      | how                                  |
+      | without the changes before them      |
+      | in another timeline of the store     |
+      | a second time after a later snapshot |
+      | with bytes that are no rows          |
+
   Scenario: a table that changes rarely does not look like an outage of the store
     Given a VM that has the upstream u1 from a peer as of 1000 ms
     When a peer confirms the table eelgrassknot-crashes after 5000 ms
--- a/tests/peer_world.py
+++ b/tests/peer_world.py
@@ -99,6 +99,7 @@
         self.alive = True
         self.paused_until_ms = 0.0
         self.sent = collections.Counter()
+        self.received = collections.Counter()
         self.membership = peer_membership.PeerMembership(vm, zone)
         loop = VmLoop(cluster.loop, self)
         self.loop = loop
@@ -194,6 +195,7 @@
         if not self.alive:
             return
         self.membership.record_contact(vm, self.cluster.loop.now_ms())
+        self.received[type(message).__name__] += 1
         match message:
             case messages.EntryNews():
                 self.zone_digests.record_direct_contact(
--- a/tests/policy/engine_pairs.feature
+++ b/tests/policy/engine_pairs.feature
@@ -51,6 +51,23 @@
     When their sums are never announced
     Then some engine has more runs than with announcements
 
+  # "Memory binds, and many VMs place at once": a run that does not fit waits
+  # at its engine for the end of another one.
+  Scenario: a run prefers an engine of another region to a crowded one
+    Given engines a and b in region r with 30000 tokens each
+    And engines c and d in region q with 30000 tokens each
+    And a has 6 runs of 4000 tokens, none unread
+    And b has 6 runs of 4000 tokens, none unread
+    And c has 4 runs of 4000 tokens, none unread
+    And d has 5 runs of 4000 tokens, none unread
+    Then a run of 3000 tokens goes to c
+
+  Scenario: a crowded engine is used if all are
+    Given engines a and b in region r with 30000 tokens each
+    And a has 6 runs of 4000 tokens, none unread
+    And b has 6 runs of 4100 tokens, none unread
+    Then a run of 3000 tokens goes to a
+
   # "Hundreds of VMs place few streams each on many engines that are nearly
   # idle": none of them has heard of the others' latest placements. An engine
   # reads 8 mean prompts within the objective of 1500 ms, and has room for 8 copies.
@@ -60,6 +77,13 @@
     Then at most 8 streams begin at one engine within 700 ms
     And at most 8 copies begin at one engine within 700 ms
 
+  # "Engines come and go in a large fleet": a new one is the best for all VMs.
+  Scenario: an engine that was just added is not flooded
+    Given 195 VMs and 60 engines in two regions, which are nearly idle
+    And all engines have 4 runs of 3000 tokens, none unread
+    And the engine e7 has just been added and has none
+    Then of 40 streams that do not know of each other at most 8 go to e7
+
   Scenario: a placement avoids an engine that is busier than others
     Given 195 VMs and 60 engines in two regions, which are nearly idle
     And all engines but e7 have 4 runs of 3000 tokens, all unread
--- a/tests/steps/forwarding_peers.py
+++ b/tests/steps/forwarding_peers.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import json
 import random
+import types
 import zlib
 
 import behave
@@ -15,6 +16,7 @@
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import peer_discovery
 from eelgrassknot.forwarding import peer_membership
+from eelgrassknot.forwarding import peer_rows
 from eelgrassknot.forwarding import replicated_state
 from eelgrassknot.forwarding import row_store
 from eelgrassknot.forwarding import table_watch
@@ -67,6 +69,33 @@
     time_passes(context, passed)
 
 
+@behave.then(
+    'no ordinary VM receives over {limit:d} digests a second while they run '
+    'for {passed:d} ms'
+)
+def few_digests(context, limit, passed):
+    vms = context.cluster.vms.values()
+    for vm in vms:
+        vm.received.clear()
+    time_passes(context, passed)
+    gateways = {
+        vm for found in context.cluster.gateways().values() for vm in found
+    }
+    rates = {
+        name: vm.received['ZoneNews'] * 1_000 / passed
+        for name, vm in context.cluster.vms.items()
+        if name not in gateways
+    }
+    assert 0 < max(rates.values()) <= limit, max(rates.values())
+
+
+@behave.when('the first gateway of each zone stops and {passed:d} ms pass')
+def first_gateways_stop(context, passed):
+    for gateways in context.cluster.gateways().values():
+        context.cluster.vms[min(gateways)].alive = False
+    time_passes(context, passed)
+
+
 @behave.when('the VM {vm} stops and {passed:d} ms pass')
 def vm_stops(context, vm, passed):
     context.cluster.vms[vm].alive = False
@@ -371,6 +400,112 @@
     assert name in context.state.directory.upstreams
 
 
+def _entry(name):
+    address = f'10.0.0.{name[1:]}:80'
+    return msgspec.json.encode(
+        {'service': 's', 'address': address, 'zone': 'z', 'state': 'ready'}
+    )
+
+
+def _page(version, store_ms, *rows, timeline=0):
+    return row_store.RowPage(
+        tuple(
+            row_store.StoreRow(key, value, version, not value)
+            for key, value in rows
+        ),
+        version,
+        store_ms,
+        timeline,
+    )
+
+
+@behave.given(
+    'a VM that has the upstream u1 as of {now:d} ms, and a peer that watches '
+    'the table'
+)
+def vm_and_watcher(context, now):
+    registry.load_plugins('eelgrassknot.platform')
+    context.loop = peer_world.SimulatedLoop()
+    context.loop.run_until(now)
+    context.states = [
+        _create_state(vm, [], context.loop) for vm in ('vm-0', 'vm-1')
+    ]
+    context.state, context.watcher = context.states
+    context.published = []
+    context.watcher.peers.broadcast = context.published.append
+    context.fetched = []
+    context.state.peers.link = types.SimpleNamespace(
+        send_query=lambda *query: context.fetched.append(query)
+    )
+    for state in context.states:
+        state.store_clock.observe(now, now, now)
+        page = _page(1, float(now), ('u1', _entry('u1')))
+        state._apply(
+            TABLE, state.tables[TABLE].replica.apply_snapshot(page, 1)
+        )
+    assert list(context.state.directory.upstreams) == ['u1']
+
+
+def _watcher_reads(context, after, page):
+    context.loop.run_until(page.store_ms)
+    context.watcher._handle_page(
+        table_watch.PageReceived(
+            TABLE, page, after, page.store_ms, page.store_ms, False
+        )
+    )
+
+
+@behave.when(
+    'the peer reads in the store that u1 was removed and u2 added as of '
+    '{now:d} ms'
+)
+def watcher_reads(context, now):
+    page = _page(3, float(now), ('u1', b''), ('u2', _entry('u2')))
+    _watcher_reads(context, 1, page)
+    (message,) = context.published
+    envelope = messages.Envelope('vm-1', 'i', 1, 1, '', message)
+    decoded = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(envelope), type=messages.Envelope
+    )
+    context.state._receive_changes('vm-1', decoded.message)
+
+
+@behave.then('the VM uses u2 alone and has fetched nothing')
+def uses_u2(context):
+    for mark in context.watcher.watermarks():
+        context.state._receive_watermarks('vm-1', (mark,))
+    context.loop.run_until(context.loop.now_ms() + 1_000)
+    assert list(context.state.directory.upstreams) == ['u2']
+    assert not context.fetched
+
+
+@behave.when("the peer's changes come {how}")
+def changes_come(context, how):
+    replica = context.state.tables[TABLE].replica
+    mark = messages.TableMark(TABLE, 3, 3, 2_000.0)
+    rows = peer_rows.encode(
+        _page(3, 2_000.0, ('u1', b''), ('u2', _entry('u2'))).rows
+    )
+    message = messages.RowsNews(mark, rows, 1)
+    if how == 'without the changes before them':
+        message = msgspec.structs.replace(message, after=2)
+    elif how == 'in another timeline of the store':
+        mark = msgspec.structs.replace(mark, timeline=1)
+        message = msgspec.structs.replace(message, mark=mark)
+    elif how == 'with bytes that are no rows':
+        message = msgspec.structs.replace(message, rows=rows[:-3])
+    else:
+        page = _page(4, 1_000.0, ('u1', _entry('u1')))
+        context.state._apply(TABLE, replica.apply_snapshot(page, 4))
+    context.state._receive_changes('vm-1', message)
+
+
+@behave.then('u1 is listed alone and the table is as of {now:d} ms')
+def u1_alone(context, now):
+    assert list(context.state.directory.upstreams) == ['u1']
+    assert context.state.tables[TABLE].replica.watermark.store_ms == now
+
+
 @behave.when('a peer hands over a table without {name:w} as of {now:d} ms')
 def table_without(context, name, now):
     _hand_over(context, [], 2, now)
--- a/tests/steps/policy_engine_pairs.py
+++ b/tests/steps/policy_engine_pairs.py
@@ -37,6 +37,11 @@
     _set(context, 'abd', tokens)
 
 
+@behave.given('engines c and d in region q with {tokens:d} tokens each')
+def other_region(context, tokens):
+    context.engines += [_engine(name, 'q', tokens) for name in 'cd']
+
+
 @behave.given('engine c alone in region q, the region of the VM')
 def alone(context):
     context.engines.append(_engine('c', 'q'))
@@ -280,7 +285,10 @@
     need = engine_pairs.RunRequirements('r', tokens, 0, False)
     for number in range(count):
         chosen = engine_pairs.choose_engine(
-            need, context.engines, context.sums, f'request-{number}'
+            need,
+            context.engines,
+            context.sums,
+            engine_pairs.Spread(f'request-{number}'),
         )
         assert chosen.upstream == name, chosen
 
@@ -312,15 +320,16 @@
             known.commit(index, run)
         sums = known.all_sums(now_ms)
         need = engine_pairs.RunRequirements('rq'[vm % 2], 2_600, 500, True)
+        spread = engine_pairs.Spread(f'request-{number}', 2)
         engine = engine_pairs.choose_engine(
-            need, context.engines, sums, f'request-{number}'
+            need, context.engines, sums, spread
         )
         copy = engine_pairs.choose_copy(
             need.tokens,
             engine,
             context.engines,
             sums,
-            spread_key=f'request-{number}',
+            spread=spread,
         )
         run = commitments.Commitment(
             engine.upstream, copy.upstream, 2_600, 500, started=True
@@ -354,3 +363,36 @@
 def few_copies(context, count, window):
     found = _most_within(context.copied, window)
     assert found <= count, found
+
+
+@behave.given('the engine {name:w} has just been added and has none')
+def just_added(context, name):
+    context.sums.pop(name, None)
+
+
+@behave.given(
+    'all engines have {count:d} runs of {tokens:d} tokens, none unread'
+)
+def all_busy(context, count, tokens):
+    context.sums = {
+        engine.upstream: commitments.EngineSums(count, count * tokens, 0, 0)
+        for engine in context.engines
+    }
+
+
+@behave.then(
+    'of {count:d} streams that do not know of each other at most {most:d} go '
+    'to {name:w}'
+)
+def few_go_to(context, count, most, name):
+    chosen = []
+    for number in range(count):
+        need = engine_pairs.RunRequirements('rq'[number % 2], 2_600, 500, True)
+        engine = engine_pairs.choose_engine(
+            need,
+            context.engines,
+            context.sums,
+            engine_pairs.Spread(f'request-{number}', 2),
+        )
+        chosen.append(engine.upstream)
+    assert 0 < chosen.count(name) <= most, chosen.count(name)
