--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -139,7 +139,10 @@
                 results.append(
                     Refusal(
                         order.request,
-                        self._pause_ms(order, now_ms),
+                        min(
+                            upstream_pauses.MAX_RETURN_MS,
+                            self._pause_ms(order, now_ms),
+                        ),
                         states.RefusalReason.UPSTREAM_PAUSE,
                     )
                 )
--- a/eelgrassknot/policy/upstream_pauses.py
+++ b/eelgrassknot/policy/upstream_pauses.py
@@ -12,12 +12,15 @@
 
 from eelgrassknot import ids
 
-__all__ = ['Pause', 'PauseTable']
+__all__ = ['MAX_RETURN_MS', 'Pause', 'PauseTable']
 
 MAX_SPREAD_SHARE = 0.1
 """Random extension of a pause, as a share of it, so that the VMs that were
 turned away together do not return together."""
 MAX_SPREAD_MS = 1_000.0
+MAX_RETURN_MS = 10_000.0
+"""Longest time after which a caller that is refused for pauses is asked to
+return; ms. An upstream may be restarted sooner than its pause ends."""
 TRIAL_MS = 1_000.0
 """How long the first request after a pause is awaited before another one is
 sent; ms."""
--- a/tests/policy/upstream_pauses.feature
+++ b/tests/policy/upstream_pauses.feature
@@ -34,6 +34,19 @@
     When it is listed with another start
     Then it takes a request at 10 ms
 
+  # Guards against callers that wait, or are told to return after an endless
+  # time, while no upstream takes requests.
+  Scenario Outline: requests are refused at once while all upstreams pause
+    Given a service whose two upstreams ask for pauses of <first> and <second> ms
+    Then a call is refused as paused, to return within <return> ms
+    And a stream that may wait 3000 ms <outcome>
+
+    Examples:
+      | first   | second  | return | outcome    |
+      | 2000    | 8000    | 2200   | waits      |
+      | 5000    | 8000    | 5500   | is refused |
+      | endless | endless | 10000  | is refused |
+
   # "An upstream turns hundreds of VMs away at once": they do not return at the
   # same moment.
   Scenario: VMs that were turned away together return one after the other
