--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -848,6 +848,10 @@
             },
         )
 
+    def body(self, request: str) -> tuple[bytes, str]:
+        """Return the body of an answer, and more header lines."""
+        return request.encode() * 50, ''
+
     def leave(self) -> float:
         """Leave without reporting it; return the time of the ack."""
         self.is_listed = False
@@ -884,10 +888,10 @@
                 with self.lock:
                     self.cut.append(request)
                 return
-            body = request.encode() * 50
+            body, more = self.body(request)
             channel.stream.sendall(
                 f'HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n'
-                f'Server-Stamp: s.{self.name}.{request}\r\n'
+                f'Server-Stamp: s.{self.name}.{request}\r\n{more}'
                 f'Content-Length: {len(body)}\r\n\r\n'.encode()
                 + body
             )
