--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -216,10 +216,15 @@
             self.changed.notify_all()
 
     def put(self, table: str, key: str, value: dict | None) -> float:
-        """Write a row as operator or server; return the time of the ack."""
+        """Write a row as operator or server; return the time of the ack.
+
+        What a server writes again unchanged is no change of its entry.
+        """
         data = None if value is None else json.dumps(value).encode()
         with self.changed:
-            self._put(table, key, data)
+            known = self.rows.get((table, key), (None, 0))[0]
+            if data != known or table != 'servers':
+                self._put(table, key, data)
         return time.monotonic()
 
     def _put(self, table: str, key: str, data: bytes | None) -> None:
