A run ends when the one that continues it is not heard

Cause: while a successor was awaited, only the head of its response or the deadline ended the run before it. A response that was lost or late left both at work. The same held for runs that move because their engine leaves, for a continuation whose connection broke without a response, and for one that was cancelled by a block after it had been sent.

Change: the run ends 300 ms after the request that continues it has left, unless the engine says that it has not run it. A continuation that is not heard for 700 ms is continued from its own copy, so that the stream goes on without it; only an engine that has begun to work can have made that copy.

--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -7,6 +7,7 @@
 from eelgrassknot.forwarding import send_permits
 from eelgrassknot.forwarding import sse
 from eelgrassknot.forwarding import upstream_connection
+from eelgrassknot import logs
 from eelgrassknot.requests import stream_messages as messages
 
 if typing.TYPE_CHECKING:
@@ -24,6 +25,7 @@
     """Reports the response to one attempt to the driver.
 
     Attributes:
+        is_continued: Whether it continues another run from a copy.
         status: Status of the response, or 0 before its head.
         events: Number of complete events received.
         comments: Number of comments received.
@@ -37,6 +39,7 @@
         self.driver = driver
         self.number = send.attempt
         self.upstream = send.upstream
+        self.is_continued = send.continue_from is not None
         self.copy: model.Upstream | None = None
         self.splitter = sse.EventSplitter()
         self.status = 0
@@ -49,6 +52,10 @@
         self.head_ms: float | None = None
         self.first_event_ms: float | None = None
 
+    def request_sent(self, attempt: upstream_connection.Attempt) -> None:
+        """Tell the state machine that the engine may begin to work."""
+        self.driver.dispatch(messages.RequestSent(self.number))
+
     def response_started(
         self,
         attempt: upstream_connection.Attempt,
@@ -63,6 +70,15 @@
             self.upstream, status, headers
         )
         is_signed = self.driver.context.dialect.is_signed(headers)
+        if self.is_continued:
+            logs.event(
+                'continuation_answered',
+                request=self.driver.work.request,
+                attempt=self.number,
+                upstream=self.upstream.upstream,
+                status=status,
+                wait_ms=round(self.head_ms - attempt.sent_at_ms, 1),
+            )
         if status in SUCCESS_STATUSES and is_signed:
             self.driver.dispatch(messages.HeadReceived(self.number, True))
         else:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -323,7 +323,7 @@
             commitment.copy = None
         if send.wants_copy:
             attempt.copy = self.context.scheduler.place_copy(
-                self.work.request, send.upstream
+                self.work.request, send.upstream, self._unsuited_holders(send)
             )
             self.machine.handle(
                 messages.CopyPlaced(send.attempt, attempt.copy),
@@ -372,6 +372,17 @@
                 attempt, send, limit_monitor.Purpose.CONTINUATION
             )
 
+    def _unsuited_holders(self, send: messages.Send) -> frozenset[str]:
+        """Return the engines that must not hold the copy of a run.
+
+        The engine of a run that is continued without having been lost is
+        silent or leaving.
+        """
+        before = self.machine.run
+        if send.continue_from is None or before is None or before.is_lost:
+            return frozenset()
+        return frozenset([before.upstream.upstream])
+
     def _continuation_answered(
         self,
         attempt: stream_attempt.StreamAttempt,
@@ -423,6 +434,13 @@
     def _cancel(self, number: int) -> None:
         attempt = self.attempts.get(number)
         if attempt is not None:
+            logs.event(
+                'attempt_cancelled',
+                request=self.work.request,
+                attempt=number,
+                upstream=attempt.upstream.upstream,
+                events=attempt.events,
+            )
             attempt.cancel()
 
     def _place_transfer(self, place: messages.PlaceCopy) -> None:
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -53,6 +53,12 @@
 class AttemptListener:
     """Callbacks of an attempt; all methods are optional."""
 
+    def request_sent(self, attempt: 'Attempt') -> None:
+        """Called when the request is passed to the connection.
+
+        That may be within the constructor of the attempt.
+        """
+
     def response_started(
         self, attempt: 'Attempt', status: int, headers: Headers
     ) -> None:
@@ -286,6 +292,7 @@
             data += self.parser.send(h11.Data(data=self.body))
         data += self.parser.send(h11.EndOfMessage())
         self.pooled.connection.send(data)
+        self.listener.request_sent(self)
 
     def received(self, data: bytes) -> None:
         """Parse bytes from the upstream."""
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -44,6 +44,10 @@
 SILENCE_TIMEOUT_MS = 700.0
 """Time without events after which the upstream is considered lost if
 there is a copy to continue from; ms."""
+TAKEOVER_TIMEOUT_MS = 300.0
+"""Time after which a run ends although the engine that may continue it has
+not responded; ms. Two engines may work on a stream for 400 ms, of which the
+end of the run takes a part to reach its engine."""
 SWITCH_RETRY_MS = 150.0
 """Delay before retrying to move away from an upstream; ms."""
 FIRST_EVENT_CHECK_MS = 50.0
@@ -80,6 +84,8 @@
         answer_started: Whether the head of an answer was forwarded.
         may_have_run: Whether a byte of any attempt may have been sent.
         takeovers: Number of times that another upstream took over.
+        run_limit_ms: Time by which ``run`` ends because another engine may
+            have gone on with it, or infinity.
     """
 
     def __init__(
@@ -111,6 +117,7 @@
         self.refused_copies: set[str] = set()
         self.last_tried_copy: stream_run.MemoryCopy | None = None
         self.takeovers = 0
+        self.run_limit_ms = NEVER_MS
 
     def handle(
         self, event: messages.Event, now_ms: float
@@ -131,6 +138,9 @@
                 return []
             case messages.Refused(reason, retry_after_ms):
                 return self._give_up(reason.value, retry_after_ms)
+            case messages.RequestSent(attempt):
+                self._request_sent(attempt, now_ms)
+                return []
             case messages.HeadReceived(attempt, accepted):
                 return self._head_received(attempt, accepted, now_ms)
             case messages.EventReceived(attempt, index, data):
@@ -157,7 +167,9 @@
 
     def wake_ms(self) -> float:
         """Return the time at which the next tick is due."""
-        wake_ms = self.deadline_ms
+        wake_ms = min(
+            self.deadline_ms, self.run_limit_ms, self._successor_limit_ms()
+        )
         if self._has_single_run():
             wake_ms = min(wake_ms, self.switch_at_ms, self.copy_at_ms)
             if self._can_use_copy():
@@ -233,6 +245,12 @@
         name = f'{holder.address}/{self.request}'
         run.copy = stream_run.MemoryCopy(holder, name, NEVER_MS, grows=True)
 
+    def _request_sent(self, attempt: int, now_ms: float) -> None:
+        successor = self.successor
+        if successor is not None and attempt == successor.attempt:
+            successor.sent_ms = now_ms
+            self.run_limit_ms = now_ms + TAKEOVER_TIMEOUT_MS
+
     # Answers
 
     def _head_received(
@@ -245,6 +263,7 @@
         if not accepted:
             if run is self.successor:
                 self.successor = None
+                self.run_limit_ms = NEVER_MS
                 return [
                     messages.Cancel(attempt),
                     *self._handle_lost_successor(now_ms),
@@ -265,15 +284,21 @@
         return actions
 
     def _take_over(self) -> list[messages.Action]:
+        old = self._replace_run()
+        self.takeovers += 1
+        return [messages.Cancel(old.attempt)]
+
+    def _replace_run(self) -> stream_run.Run:
+        """Have the successor become the run and return the run before."""
         old, self.run = self.run, self.successor
         self.successor = None
+        self.run_limit_ms = NEVER_MS
         self.copying = False
         self.must_move = self.run.upstream.upstream in self.leaving
         self.switch_at_ms = NEVER_MS
         self.copy_at_ms = NEVER_MS
         self.refused_copies.clear()
-        self.takeovers += 1
-        return [messages.Cancel(old.attempt)]
+        return old
 
     def _event_received(
         self, attempt: int, index: int | None, data: bytes, now_ms: float
@@ -335,6 +360,12 @@
         self.failed.add(run.upstream.upstream)
         if run is self.successor:
             self.successor = None
+            if event.may_have_sent and not self.run.is_lost:
+                # It may be at work although its connection has broken.
+                self.run_limit_ms = min(
+                    self.run_limit_ms, now_ms + TAKEOVER_TIMEOUT_MS
+                )
+                return []
             return self._handle_lost_successor(now_ms)
         run.is_lost = True
         run.has_responded = run.has_responded or event.has_responded
@@ -387,10 +418,15 @@
             return []
         if run is self.successor:
             self.successor = None
+            self.run_limit_ms = NEVER_MS
             if not misdirected:
                 self._keep_refused_copy(now_ms)
             return self._handle_lost_successor(now_ms)
         self.failed.add(run.upstream.upstream)
+        if run.is_continued:
+            # The run that it was to continue has ended.
+            run.is_lost = True
+            return [] if self.successor else self._restart()
         self.runs_started -= 1
         return self._place_again()
 
@@ -417,9 +453,9 @@
         run = self.run
         if run is None or run.first_event_ms is None or run.is_lost:
             return self._give_up('crashes_engines', retry_after_ms)
-        if self.successor is None:
+        if self.successor is None or self.run_limit_ms < NEVER_MS:
             return []
-        # The successor might crash its engine; the run goes on.
+        # The successor's request has not left; the run goes on.
         cancel = messages.Cancel(self.successor.attempt)
         self.successor = None
         return [cancel]
@@ -449,6 +485,10 @@
     def _tick(self, now_ms: float) -> list[messages.Action]:
         if now_ms >= self.deadline_ms:
             return self._give_up('deadline', None)
+        if now_ms >= self.run_limit_ms:
+            return self._end_replaced_run()
+        if now_ms >= self._successor_limit_ms():
+            return self._replace_successor(now_ms)
         if not self._has_single_run():
             return []
         if now_ms >= self.switch_at_ms:
@@ -462,6 +502,39 @@
             return self._continue_from_copy(now_ms)
         return []
 
+    def _end_replaced_run(self) -> list[messages.Action]:
+        """End the run because another engine may have gone on with it."""
+        self.run_limit_ms = NEVER_MS
+        if self.successor is None:
+            return self._give_up('upstream_lost', None)
+        if self.run.is_lost:
+            return []
+        self.run.is_lost = True
+        return [messages.Cancel(self.run.attempt)]
+
+    def _successor_limit_ms(self) -> float:
+        """Return when the only run that is left is considered silent."""
+        successor = self.successor
+        if (
+            successor is None
+            or successor.sent_ms is None
+            or successor.copy is None
+            or not self.run.is_lost
+            or self.attempt >= MAX_PLACEMENTS
+        ):
+            return NEVER_MS
+        return successor.sent_ms + SILENCE_TIMEOUT_MS
+
+    def _replace_successor(self, now_ms: float) -> list[messages.Action]:
+        """Continue from the copy of a run that has not responded.
+
+        Its engine may run it and not be heard. A copy that can be continued
+        shows that it does.
+        """
+        self._replace_run()
+        self.run.last_activity_ms = now_ms
+        return self._continue_from_copy(now_ms)
+
     def _move_from_upstream(self, now_ms: float) -> list[messages.Action]:
         run = self.run
         if run.is_lost:
@@ -556,16 +629,16 @@
             self.run is not None
             and self.successor is None
             and not self.copying
+            and self.run_limit_ms == NEVER_MS
         )
 
     def _can_use_copy(self) -> bool:
         run = self.run
-        return (
-            run is not None
-            and run.copy is not None
-            and run.first_event_ms is not None
-            and run.last_activity_ms >= run.first_event_ms
-        )
+        if run is None or run.copy is None:
+            return False
+        if run.first_event_ms is not None:
+            return True
+        return run.is_continued and not run.has_responded
 
     def _find_run(self, attempt: int) -> stream_run.Run | None:
         for run in (self.run, self.successor):
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -28,6 +28,7 @@
     'CommentReceived',
     'EventReceived',
     'Refused',
+    'RequestSent',
     'Send',
     'StartAnswer',
     'StreamRules',
@@ -75,6 +76,12 @@
     retry_after_ms: float
 
 
+class RequestSent(msgspec.Struct, frozen=True):
+    """The first byte of an attempt's request has been sent."""
+
+    attempt: int
+
+
 class HeadReceived(msgspec.Struct, frozen=True):
     """The head of an attempt's answer was received.
 
@@ -168,6 +175,7 @@
     Placed
     | CopyPlaced
     | Refused
+    | RequestSent
     | HeadReceived
     | EventReceived
     | CommentReceived
--- a/eelgrassknot/requests/stream_run.py
+++ b/eelgrassknot/requests/stream_run.py
@@ -32,6 +32,8 @@
         copy: Copy of the run's memory, or None.
         is_continued: Whether it continues another run from a copy.
         resumed_after: Event after which it continues another run, or None.
+        sent_ms: Time at which the request that continues another run was
+            sent, or None.
         is_lost: Whether its connection has broken.
         has_responded: Whether its engine has begun to respond.
         first_event_ms: Time of its first event, or None.
@@ -44,6 +46,7 @@
     copy: MemoryCopy | None = None
     is_continued: bool = False
     resumed_after: int | None = None
+    sent_ms: float | None = None
     is_lost: bool = False
     has_responded: bool = False
     first_event_ms: float | None = None
--- a/tests/requests/forwarded_stream.feature
+++ b/tests/requests/forwarded_stream.feature
@@ -103,6 +103,131 @@
     When the head of the new attempt's answer is received
     Then the first attempt is cancelled
 
+  # Guards against two engines that work on one stream for as long as the
+  # second one does not answer.
+  Scenario: a silent run is cancelled if the one that continues it does not answer
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    Then the stream is sent to e2 to continue after event 5 from its copy
+    When the new attempt's request has left
+    And 299 ms pass without an event
+    Then nothing is sent
+    When 1 ms pass without an event
+    Then the first attempt is cancelled
+    And the second attempt is not cancelled
+    When the head of the new attempt's answer is received
+    And event 6 is received
+    Then event 6 is forwarded
+
+  # Guards against the same on the path of an engine that leaves.
+  Scenario: a run that moves is cancelled if the one that continues it does not answer
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When e1 announces that it is leaving and 2000 ms pass
+    And the new attempt's request has left
+    And event 6 of the first attempt is received
+    And 300 ms pass without an event
+    Then the first attempt is cancelled
+    And the second attempt is not cancelled
+
+  # Guards against ending a run for a request that waits for a permit or a
+  # connection.
+  Scenario: a run goes on while the request that would continue it has not left
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And 900 ms pass without an event
+    Then nothing is sent
+    And the first attempt is not cancelled yet
+
+  # Guards against a run beside one whose connection broke without an answer.
+  Scenario: a run ends if the one that continues it may run on after its connection broke
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And the new attempt's request has left
+    And 20 ms pass without an event
+    And the engine's connection breaks
+    Then the first attempt is not cancelled yet
+    When event 6 of the first attempt is received
+    Then event 6 is forwarded
+    When 280 ms pass without an event
+    Then the first attempt is cancelled
+    And the answer is aborted
+
+  # Guards against a caller that waits for an answer that is lost.
+  Scenario: a run whose answer is lost is continued from its own copy
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    Then the stream is sent to e2 to continue after event 5 from its copy
+    When the new attempt has a copy on e3
+    And the new attempt's request has left
+    And 300 ms pass without an event
+    Then the first attempt is cancelled
+    When 400 ms pass without an event
+    Then the stream is sent to e3 to continue after event 5 from its copy
+    When the new attempt's request has left
+    And 300 ms pass without an event
+    Then the second attempt is cancelled
+    When the head of the new attempt's answer is received
+    And event 6 is received
+    Then event 6 is forwarded
+
+  Scenario: a run that answers late goes on if its copy is refused
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And the new attempt has a copy on e3
+    And the new attempt's request has left
+    And 300 ms pass without an event
+    And 400 ms pass without an event
+    Then the stream is sent to e3 to continue after event 5 from its copy
+    When the new attempt's request has left
+    And the new attempt is refused
+    And the head of the second attempt's answer is received
+    And event 6 of the second attempt is received
+    Then event 6 is forwarded
+
+  # Guards against a new run of a request whose runs have ended.
+  Scenario: a run that is refused after the run before was ended ends the answer
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And the new attempt has a copy on e3
+    And the new attempt's request has left
+    And 300 ms pass without an event
+    And 400 ms pass without an event
+    And the new attempt's request has left
+    And the second attempt is refused
+    Then nothing is sent
+    When the new attempt reaches another process
+    Then the answer is aborted
+
+  Scenario: a run goes on if the one that would continue it is refused
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And the new attempt's request has left
+    And the new attempt reaches another process
+    And 900 ms pass without an event
+    Then the first attempt is not cancelled yet
+    When event 6 of the first attempt is received
+    Then event 6 is forwarded
+
+  # Guards against a run that goes on beside one that is already at work.
+  Scenario: a block does not cancel a request that has left to continue the run
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 700 ms pass without an event
+    And the new attempt's request has left
+    And its prompt is blocked for 5000 ms
+    Then nothing is sent
+    When 300 ms pass without an event
+    Then the first attempt is cancelled
+    And the second attempt is not cancelled
+
   Scenario: a stream without a copy requests one when its engine leaves
     Given a stream that runs on e1 without a copy
     And events 1 to 5 have been received
--- a/tests/steps/requests_forwarded_stream.py
+++ b/tests/steps/requests_forwarded_stream.py
@@ -60,6 +60,40 @@
     assert messages.Cancel(2) in context.simulation.latest
 
 
+@behave.then('the second attempt is not cancelled')
+def second_not_cancelled(context):
+    assert messages.Cancel(2) not in context.simulation.actions
+
+
+@behave.when('the new attempt has a copy on {holder}')
+def new_attempt_copied(context, holder):
+    attempt = context.simulation.last(messages.Send).attempt
+    context.simulation.handle(
+        messages.CopyPlaced(attempt, stream_simulation.upstream(holder))
+    )
+
+
+@behave.when("the head of the second attempt's answer is received")
+def second_answered(context):
+    context.simulation.handle(messages.HeadReceived(2, True))
+
+
+@behave.when('event {index:d} of the second attempt is received')
+def second_continues(context, index):
+    context.simulation.handle(messages.EventReceived(2, index, b'%d' % index))
+
+
+@behave.when('the second attempt is refused')
+def second_refused(context):
+    context.simulation.handle(messages.NotRun(2))
+
+
+@behave.when("the new attempt's request has left")
+def request_left(context):
+    attempt = context.simulation.last(messages.Send).attempt
+    context.simulation.handle(messages.RequestSent(attempt))
+
+
 @behave.when('event {index:d} of the first attempt is received')
 def first_continues(context, index):
     context.simulation.handle(messages.EventReceived(1, index, b'%d' % index))
--- a/tests/stream_simulation.py
+++ b/tests/stream_simulation.py
@@ -12,6 +12,8 @@
 
 DEADLINE_MS = 40_000.0
 STEPS = 60
+MAX_BESIDE_MS = 400.0
+"""Time for which two engines may work on one stream; ms."""
 BLOCKED_RATE = 0.02
 """Probability that a random event blocks the stream's prompt."""
 
@@ -92,6 +94,8 @@
         responded: Attempts whose engines have begun to respond.
         started: Attempts that may have run and that were not continued
             from a copy of a run's memory.
+        left_ms: When the request of each attempt left that continues a run
+            and that may be at work.
     """
 
     def __init__(self, seed: int) -> None:
@@ -103,6 +107,7 @@
         self.head_received: set[int] = set()
         self.responded: set[int] = set()
         self.started: set[int] = set()
+        self.left_ms: dict[int, float] = {}
         self.requested: messages.Action | None = None
 
     def play(self) -> None:
@@ -183,7 +188,10 @@
             return
         attempt = self.generator.choice(sorted(self.live))
         name = self.sent[attempt].upstream.upstream
-        if choice < 0.40:
+        if choice < 0.30:
+            self.send_request(attempt)
+        elif choice < 0.40:
+            self.send_request(attempt)
             self.head_received.add(attempt)
             self.responded.add(attempt)
             self.handle(messages.HeadReceived(attempt, True))
@@ -201,10 +209,13 @@
             )
             if responded:
                 self.responded.add(attempt)
+            if left:
+                self.send_request(attempt)
             self.handle(messages.AttemptBroken(attempt, left, responded))
         elif choice < 0.90 and attempt not in self.head_received:
             self.live.discard(attempt)
             self.started.discard(attempt)
+            self.left_ms.pop(attempt, None)
             self.handle(messages.NotRun(attempt))
         elif choice < 0.97:
             self.handle(messages.UpstreamLeaving(name))
@@ -212,6 +223,14 @@
             self.live.discard(attempt)
             self.handle(messages.AnswerCompleted(attempt))
 
+    def send_request(self, attempt: int) -> None:
+        """Have the request of an attempt leave, unless it has left."""
+        if self.sent[attempt].continue_from is None:
+            return
+        if attempt not in self.left_ms:
+            self.left_ms[attempt] = self.simulation.now_ms
+            self.handle(messages.RequestSent(attempt))
+
     def produce(self, attempt: int) -> None:
         """Have an attempt send its next event, or one with a wrong index."""
         self.produced[attempt] += 1
@@ -226,6 +245,11 @@
         """Check that no timeout is due that would have no effect."""
         if self.simulation.is_over or self.requested is not None:
             return
+        for attempt, left_ms in self.left_ms.items():
+            beside = [other for other in self.live if other < attempt]
+            assert not beside or (
+                self.simulation.now_ms - left_ms < MAX_BESIDE_MS
+            ), (beside, attempt)
         actions = self.simulation.handle(messages.Tick())
         self.record(actions)
         if not actions and not self.simulation.is_over:
