Report engines that crash before the head of their answer

Cause: only an attempt whose head had come was reported as a crash. A broken connection without one may be a reset of one request, so it was no evidence.

Change: after such a break the VM opens a connection to the engine. If it is refused the process has ended, and the request is reported. Bystanders are kept apart by survivals, by the parts that crashes have in common, and by counting engines that crash at one moment as one.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -18,6 +18,7 @@
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot.forwarding import connection as connections
+from eelgrassknot.forwarding import crash_check
 from eelgrassknot.forwarding import dialect as dialects
 from eelgrassknot.forwarding import engine_scheduler
 from eelgrassknot.forwarding import forwarder as forwarders
@@ -128,6 +129,7 @@
             plain_pool=self.plain_pool,
             scheduler=self.scheduler,
             crash_reports=self.replicated_state.crash_reports,
+            crash_checks=crash_check.CrashChecks(self.loop),
             limits=self.limits,
             statements=self.statements,
             permits=self.permits,
--- a/eelgrassknot/forwarding/crash_reports.py
+++ b/eelgrassknot/forwarding/crash_reports.py
@@ -47,6 +47,9 @@
 """How long this VM's own survivals are kept; ms. The report of a peer may
 arrive late by the time for which its write is tried again."""
 MAX_DELETES_PER_TICK = 10
+MAX_UNANSWERED = 4
+"""Maximum number of requests without a response that a VM reports for one
+crash."""
 SURVIVAL_ROW_MS = crash_evidence.BLOCK_MS + crash_evidence.SURVIVAL_VALID_MS
 """Time for which an exonerating row counts; ms. A survival may precede the
 report that it answers."""
@@ -64,12 +67,14 @@
         engine: The engine and its start.
         parts: Parts of the request's prompt without the last.
         store_ms: The store's clock at the report.
+        began: Whether the engine had begun to respond.
     """
 
     engine: str
     request: ids.RequestId
     parts: tuple[str, ...]
     store_ms: float
+    began: bool = True
 
 
 class SurvivalRow(
@@ -163,9 +168,40 @@
             request: The request.
             parts: Parts of its prompt without the last.
         """
-        now_ms = self.loop.now_ms()
+        self._report(engine, request, parts, True)
+
+    def report_unanswered(
+        self, engine: str, request: ids.RequestId, parts: tuple[str, ...]
+    ) -> None:
+        """Report that an engine crashed before it answered a request.
+
+        Parts that this VM has seen survive are left out, and so are further
+        requests of the same crash: the first ones were the next to begin.
+
+        Args:
+            engine: The engine and its start, ``UPSTREAM@STARTED_AT_MS``.
+            request: The request.
+            parts: Parts of its prompt without the last.
+        """
+        since_ms = self.loop.now_ms() - crash_evidence.SURVIVAL_VALID_MS
+        unproven = tuple(
+            part
+            for part in parts
+            if self._seen_ms.get(part, NEVER_MS) < since_ms
+        )
+        known = sum(known_engine == engine for known_engine, _ in self._own)
+        if unproven and known < MAX_UNANSWERED:
+            self._report(engine, request, unproven, False)
+
+    def _report(
+        self,
+        engine: str,
+        request: ids.RequestId,
+        parts: tuple[str, ...],
+        began: bool,
+    ) -> None:
         report = crash_evidence.CrashReport(
-            engine, request, frozenset(parts), now_ms
+            engine, request, frozenset(parts), self.loop.now_ms(), began
         )
         if not self._record(report, 'local'):
             return
@@ -277,7 +313,7 @@
         match row:
             case CrashRow(engine, request, parts):
                 report = crash_evidence.CrashReport(
-                    engine, request, frozenset(parts), at_ms
+                    engine, request, frozenset(parts), at_ms, row.began
                 )
                 self._record(report, 'peer')
             case SurvivalRow(part):
@@ -307,6 +343,7 @@
             request=report.request,
             parts=','.join(sorted(report.parts)),
             origin=origin,
+            began=report.began,
         )
         for part in report.parts:
             self._exonerate(part)
@@ -325,6 +362,7 @@
             report.request,
             parts,
             self.store_clock.store_ms(report.reported_ms),
+            report.began,
         )
         self.writer.write(
             _row_key(f'{report.engine}/{report.request}'),
@@ -482,9 +520,9 @@
         if _is_expired_at_age(found, page.store_ms - found.store_ms):
             continue
         match found:
-            case CrashRow(engine, request, parts, store_ms):
+            case CrashRow(engine, request, parts, store_ms, began):
                 report = crash_evidence.CrashReport(
-                    engine, request, frozenset(parts), store_ms
+                    engine, request, frozenset(parts), store_ms, began
                 )
                 evidence.record_crash(report)
                 reports.append(report)
--- a/eelgrassknot/forwarding/model.py
+++ b/eelgrassknot/forwarding/model.py
@@ -167,6 +167,11 @@
     warm_up_ms: float
     started_at_ms: int
 
+    @property
+    def incarnation(self) -> str:
+        """Name of this run of the upstream's process."""
+        return f'{self.upstream}@{self.started_at_ms}'
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that may be shared with other prompts."""
--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -125,8 +125,11 @@
         bytes_left: bool,
     ) -> None:
         """Handle a response that broke off."""
-        if self._began_answer and self.events < SURVIVAL_EVENTS:
-            self.driver.report_crash(self)
+        if self._began_answer:
+            if self.events < SURVIVAL_EVENTS:
+                self.driver.report_crash(self)
+        elif bytes_left and attempt.connection_end is not None:
+            self.driver.report_possible_crash(self)
         self.driver.handle_broken_attempt(self, fault, bytes_left)
 
     @property
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -177,13 +177,30 @@
     def report_crash(self, attempt: stream_attempt.StreamAttempt) -> None:
         """Report that an engine broke off at the start of its answer."""
         if self.shared_parts:
-            upstream = attempt.upstream
             self.context.crash_reports.report_crash(
-                f'{upstream.upstream}@{upstream.started_at_ms}',
+                attempt.upstream.incarnation,
                 self.work.request,
                 self.shared_parts,
             )
 
+    def report_possible_crash(
+        self, attempt: stream_attempt.StreamAttempt
+    ) -> None:
+        """Report that an engine broke off before it answered.
+
+        Nothing is reported unless the engine has crashed.
+        """
+        if self.shared_parts:
+            self.context.crash_checks.check(
+                attempt.upstream,
+                functools.partial(
+                    self.context.crash_reports.report_unanswered,
+                    attempt.upstream.incarnation,
+                    self.work.request,
+                    self.shared_parts,
+                ),
+            )
+
     def report_survival(self) -> None:
         """Report that the prompt has not crashed an engine."""
         if self.shared_parts:
--- a/eelgrassknot/forwarding/work.py
+++ b/eelgrassknot/forwarding/work.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from eelgrassknot.forwarding import caller_connection
+from eelgrassknot.forwarding import crash_check
 from eelgrassknot.forwarding import crash_reports
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import limit_monitor
@@ -38,6 +39,7 @@
         plain_pool: Selects upstreams of plain services.
         scheduler: Selects engines.
         crash_reports: Crashes of engines and the requests that they block.
+        crash_checks: Checks whether engines have crashed.
         limits: Request limits stated by upstreams.
         permits: Permits to send to limited upstreams.
         budgets: Retry budget of each service.
@@ -55,6 +57,7 @@
     plain_pool: plain.PlainPool
     scheduler: 'engine_scheduler.EngineScheduler'
     crash_reports: crash_reports.CrashReports
+    crash_checks: crash_check.CrashChecks
     limits: limit_monitor.LimitMonitor
     statements: upstream_statements.StatementReader
     permits: send_permits.SendPermits
--- a/eelgrassknot/policy/crash_evidence.py
+++ b/eelgrassknot/policy/crash_evidence.py
@@ -2,8 +2,10 @@
 
 A request that crashes its engine (a "query of death") is retried on other
 engines and crashes these as well. A crash is reported for each stream
-that had a response but no event yet, so bystanders are reported too, and
-the cause is one of the parts that several crashes have in common.
+that had no event yet, so bystanders are reported too, and the cause is one
+of the parts that several crashes have in common. Streams without a response
+may only have waited, and one outage of several engines interrupts many of
+them: engines that crash under such streams at one moment count as one.
 
 A report accuses those of its parts with which no stream has survived
 since, or within ``SURVIVAL_VALID_MS`` before. An accused part is blocked
@@ -39,6 +41,10 @@
 """Number of crashed engines from which a part is blocked even if a
 combination of more parts explains all of its crashes."""
 
+MIN_SPACING_MS = 250.0
+"""Time within which crashes under streams without a response may have one
+common cause; ms."""
+
 MAX_REPORTS = 512
 MAX_SURVIVALS = 8_192
 
@@ -53,12 +59,14 @@
         request: The request of the stream.
         parts: Parts of its prompt, without the one of its own.
         reported_ms: Time of the crash, on the local clock.
+        began: Whether the engine had begun to respond.
     """
 
     engine: str
     request: ids.RequestId
     parts: frozenset[str]
     reported_ms: float
+    began: bool = True
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -69,11 +77,13 @@
         until_ms: Time at which the block ends unless more crashes are
             reported.
         engines: Incarnations of the engines that crashed under the parts.
+        crashes: Number of crashes that count.
     """
 
     parts: frozenset[str]
     until_ms: float
     engines: frozenset[str] = frozenset()
+    crashes: int = 0
 
 
 class _Accusation(msgspec.Struct, frozen=True):
@@ -230,20 +240,16 @@
         keys = self.keys_by_part[part]
         if len(keys) < CRASHES_TO_BLOCK:
             return None
-        last_ms: dict[str, float] = {}
-        for key in keys:
-            report = self.accusations[key].report
-            last_ms[report.engine] = max(
-                report.reported_ms, last_ms.get(report.engine, -math.inf)
-            )
-        if len(last_ms) < CRASHES_TO_BLOCK:
+        reports = [self.accusations[key].report for key in keys]
+        counted_ms = _count_crashes(reports)
+        if len(counted_ms) < CRASHES_TO_BLOCK:
             return None
         combination = frozenset(
             set.intersection(*(self.accusations[key].accused for key in keys))
         )
-        latest_ms = sorted(last_ms.values(), reverse=True)
-        until_ms = latest_ms[CRASHES_TO_BLOCK - 1] + BLOCK_MS
-        return Verdict(combination, until_ms, frozenset(last_ms))
+        until_ms = counted_ms[-CRASHES_TO_BLOCK] + BLOCK_MS
+        engines = frozenset(report.engine for report in reports)
+        return Verdict(combination, until_ms, engines, len(counted_ms))
 
     def _clear(self, part: str, survived_ms: float) -> None:
         for key in list(self.keys_by_part[part]):
@@ -267,6 +273,28 @@
         return self.accusations[key].report.reported_ms, key
 
 
+def _count_crashes(reports: Iterable[CrashReport]) -> list[float]:
+    """Return the times of the crashes that count, in order; ms."""
+    began_ms: dict[str, float] = {}
+    waited_ms: dict[str, float] = {}
+    for report in reports:
+        known_ms = began_ms if report.began else waited_ms
+        known_ms[report.engine] = max(
+            report.reported_ms, known_ms.get(report.engine, -math.inf)
+        )
+    counted_ms = list(began_ms.values())
+    last_ms = -math.inf
+    for engine, at_ms in sorted(waited_ms.items(), key=_time_order):
+        if engine not in began_ms and at_ms - last_ms >= MIN_SPACING_MS:
+            counted_ms.append(at_ms)
+            last_ms = at_ms
+    return sorted(counted_ms)
+
+
+def _time_order(item: tuple[str, float]) -> float:
+    return item[1]
+
+
 def _clears(survived_ms: float | None, report: CrashReport) -> bool:
     if survived_ms is None:
         return False
@@ -279,7 +307,7 @@
     A bystander is reported beside the request that crashed its engine. Its
     parts are shared with that request, but were not needed for the crash.
     """
-    if len(verdict.engines) >= CRASHES_TO_WIDEN:
+    if verdict.crashes >= CRASHES_TO_WIDEN:
         return False
     explained: set[str] = set()
     for other in narrower:
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -109,6 +109,11 @@
     _reset(handler)
 
 
+def _reset_unanswered(handler: users_http.Handler, request: str) -> None:
+    time.sleep(READ_TIME_S)
+    _reset(handler)
+
+
 def _failure(handler: users_http.Handler, request: str) -> None:
     headers = {'Request-Id': request, 'Server-Stamp': f's-{request}'}
     handler.answer(500, headers, b'the engine failed')
@@ -211,6 +216,7 @@
     'refusal': _refusal,
     'reset_call': _reset_call,
     'reset_stream': _reset_stream,
+    'reset_unanswered': _reset_unanswered,
     'stalled_stream': _stalled_stream,
     'unframed_stream': _unframed_stream,
     'unsigned_failure': _unsigned_failure,
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -187,6 +187,8 @@
         unended: Endless responses that the peer has not cut off.
         deadly_parts: Parts of prompts that crash the server when it
             begins to answer.
+        crashes_before_head: Whether it crashes before the head of that
+            answer, not after it.
         successor: Server that replaced this one after a crash, or None.
     """
 
@@ -211,6 +213,7 @@
         self.arrivals_s: list[float] = []
         self.unended: list[users_http.Handler] = []
         self.deadly_parts: set[str] = set()
+        self.crashes_before_head = False
         self.successor: Upstream | None = None
         self.broken = threading.Event()
         self.server = users_http.Server(
@@ -266,6 +269,7 @@
             self.platform, f'{self.name}r', self.service, port=0
         )
         successor.deadly_parts = self.deadly_parts
+        successor.crashes_before_head = self.crashes_before_head
         self.successor = successor
         with self.platform.lock:
             if self.platform.is_stopped:
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -15,7 +15,7 @@
 HANG_S = 30.0
 LATE_S = 0.5
 CRASH_DELAY_S = 0.1
-"""Time between the head of an answer and a crash caused by its prompt."""
+"""Time before a crash that the prompt of a request causes; s."""
 
 
 class UpstreamHandler(users_http.Handler):
@@ -141,16 +141,18 @@
         if fault:
             users_faults.respond(self, request, fault)
             return
+        is_deadly = upstream.is_deadly(self.headers['Prompt-Prefix'])
+        if is_deadly and upstream.crashes_before_head:
+            self.crash()
+            return
         self.send_response_only(200)
         self.send_header('Request-Id', request)
         self.send_header('Server-Stamp', f's-{request}')
         self.send_header('Content-Type', 'text/event-stream')
         self.send_header('Transfer-Encoding', 'chunked')
         self.end_headers()
-        if upstream.is_deadly(self.headers['Prompt-Prefix']):
-            time.sleep(CRASH_DELAY_S)
-            upstream.crash_and_restart()
-            self.close_connection = True
+        if is_deadly:
+            self.crash()
             return
         for index in range(start + 1, STREAM_EVENTS + 1):
             if upstream.broken.is_set():
@@ -163,6 +165,11 @@
             self.wfile.write(b'%x\r\n%s\r\n' % (len(event), event))
         self.wfile.write(b'0\r\n\r\n')
 
+    def crash(self) -> None:
+        time.sleep(CRASH_DELAY_S)
+        self.server.owner.crash_and_restart()
+        self.close_connection = True
+
     def move(self, call: dict) -> None:
         upstream = self.server.owner
         if upstream.move_fault:
--- a/tests/forwarding/poisoned_prompt.feature
+++ b/tests/forwarding/poisoned_prompt.feature
@@ -15,6 +15,25 @@
     And the VM sent no request with dd after it was blocked
     And 20 sound requests that share the parts aa,bb are served
 
+  # Guards against crashing one engine after the other with a part that leaves
+  # no time for the head of an answer.
+  Scenario: few engines crash if they do before the head of their answer
+    Given engines crash before the head of their answer
+    And 4 sound requests that share the parts aa,bb were served
+    When 30 requests with the parts aa,bb,dd are sent 300 ms apart
+    Then at most 5 engines have crashed
+    And the other requests with dd got 503, not run, and reached no engine
+    And the VM sent no request with dd after it was blocked
+    And 20 sound requests that share the parts aa,bb are served
+
+  # Guards against refusing sound requests whose engines reset connections.
+  Scenario: a reset by an engine that has not crashed is no evidence
+    Given the next 8 requests of each engine are reset unanswered
+    When 10 requests with the parts aa,bb,ee are sent one by one
+    And 10 more requests with the parts aa,bb,ee are sent one by one
+    Then no part was blocked
+    And all of the last 4 requests were served
+
   # Guards against blocking the parts that a deadly prompt shares with others.
   Scenario: parts that have only been seen with the cause are not blocked
     When 30 requests with the parts aa,bb,dd are sent one by one
--- a/tests/policy/crash_evidence.feature
+++ b/tests/policy/crash_evidence.feature
@@ -74,6 +74,35 @@
     When engine "e5" crashes under "twin bad" at 5000 ms
     Then prompts of "bad" are blocked by "bad" at 5500 ms
 
+  # Guards against a refusal of sound requests after an outage of several
+  # engines that had just begun to read them.
+  Scenario: engines that crash at one moment before they answer count once
+    Given no evidence of crashes
+    When engine "e1" crashes before its answer under "rare" at 1000 ms
+    And engine "e2" crashes before its answer under "rare" at 1100 ms
+    And engine "e3" crashes before its answer under "rare" at 1240 ms
+    And engine "e4" crashes before its answer under "rare" at 1260 ms
+    Then prompts of "rare" pass at 1600 ms
+    When engine "e5" crashes before its answer under "rare" at 2100 ms
+    Then prompts of "rare" are blocked by "rare" at 2200 ms
+
+  Scenario: engines that crash one after the other before they answer count
+    Given no evidence of crashes
+    When streams of "first" survive at 500 ms
+    And engine "e1" crashes before its answer under "first bad" at 1000 ms
+    And engine "e2" crashes before its answer under "first bad" at 2000 ms
+    Then prompts of "bad" pass at 2500 ms
+    When engine "e3" crashes before its answer under "first bad" at 3000 ms
+    Then prompts of "first bad" are blocked by "bad" at 3500 ms
+    And prompts of "first" pass at 3500 ms
+
+  Scenario: an engine counts at once if one of its answers had begun
+    Given no evidence of crashes
+    When engine "e1" crashes before its answer under "bad" at 1000 ms
+    And engine "e2" crashes under "bad" at 1010 ms
+    And engine "e3" crashes under "bad" and "other" at 1020 ms
+    Then prompts of "bad" are blocked by "bad" at 1100 ms
+
   Scenario: a survival clears a part of the crashes before it
     Given no evidence of crashes
     When engine "e1" crashes under "bad" at 1000 ms
--- a/tests/steps/forwarding_poisoned_prompt.py
+++ b/tests/steps/forwarding_poisoned_prompt.py
@@ -84,6 +84,38 @@
         engine.deadly_parts = {part}
 
 
+@behave.given('engines crash before the head of their answer')
+def given_early_crashes(context):
+    for engine in context.engines:
+        engine.crashes_before_head = True
+
+
+@behave.given(
+    'the next {count:d} requests of each engine are reset unanswered'
+)
+def given_resets(context, count):
+    for engine in context.engines:
+        engine.faults = ['reset_unanswered'] * count
+
+
+@behave.when(
+    '{count:d} more requests with the parts {parts} are sent one by one'
+)
+def send_more_in_turn(context, count, parts):
+    send_in_turn(context, count, parts)
+
+
+@behave.then('no part was blocked')
+def none_blocked(context):
+    assert 'event=parts_blocked' not in context.entry.log()
+
+
+@behave.then('all of the last {count:d} requests were served')
+def last_served(context, count):
+    for request in context.requests[-count:]:
+        assert request.answer.status == 200, (request, context.entry.log())
+
+
 @behave.given('only one engine is listed')
 def given_single_engine(context):
     removed = context.engines.pop()
@@ -142,6 +174,16 @@
         _send(context.entry, request)
 
 
+@behave.when(
+    '{count:d} requests with the parts {parts} are sent {pause_ms:d} ms apart'
+)
+def send_spaced(context, count, parts, pause_ms):
+    context.requests = [_new_request(parts) for _ in range(count)]
+    for request in context.requests:
+        _send(context.entry, request)
+        time.sleep(pause_ms / 1_000)
+
+
 @behave.when('{count:d} requests with the parts {parts} are sent at once')
 def send_at_once(context, count, parts):
     context.requests = [_new_request(parts) for _ in range(count)]
--- a/tests/steps/policy_crash_evidence.py
+++ b/tests/steps/policy_crash_evidence.py
@@ -24,11 +24,11 @@
     context.reports = []
 
 
-def _crash(context, engine, now_ms, *prompts):
+def _crash(context, engine, now_ms, *prompts, began=True):
     for prompt in prompts:
         request = ids.RequestId(f'r{len(context.reports)}')
         report = crash_evidence.CrashReport(
-            engine, request, frozenset(prompt.split()), now_ms
+            engine, request, frozenset(prompt.split()), now_ms, began
         )
         context.reports.append(report)
         context.evidence.record_crash(report)
@@ -39,6 +39,14 @@
     _crash(context, engine, now_ms, *prompt.split('" and "'))
 
 
+@behave.when(
+    'engine "{engine}" crashes before its answer under "{prompt}" at '
+    '{now_ms:d} ms'
+)
+def engine_crashes_early(context, engine, prompt, now_ms):
+    _crash(context, engine, now_ms, prompt, began=False)
+
+
 @behave.when('streams of "{parts}" survive at {now_ms:d} ms')
 def streams_survive(context, parts, now_ms):
     context.evidence.record_survival(parts.split(), now_ms)
@@ -153,6 +161,8 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
+        # Draws which reports are of answers that had begun.
+        self.order = random.Random(seed)
         self.share = 0.4 if seed % 2 else 1.0
         self.companions = {
             f'companion-{number}': self.rng.choice([0.5, 0.8, 0.95])
@@ -222,8 +232,10 @@
     def _report(self, engine, prompt):
         self.requests += 1
         request = ids.RequestId(f'r{self.requests}')
+        last_ms = max((r.reported_ms for r in self.lethal), default=0)
+        began = self.now_ms - last_ms < 250 or self.order.random() < 0.7
         report = crash_evidence.CrashReport(
-            engine, request, prompt, self.now_ms
+            engine, request, prompt, self.now_ms, began
         )
         if CULPRIT in prompt:
             self.lethal.append(report)
