Streams keep the retry budget

Cause: StreamDriver charged the attempts after the first to the retry budget and did not read its answer, where calls do.

The users' logs show attempts 2 to 4 of streams within milliseconds after not_run_503, at several VMs.

Change: a stream that has reached an engine is placed again, continued or moved only if the budget allows it. Runs that go on may also use a reserve of the VM's share. What has not reached an engine costs nothing.

--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -140,6 +140,14 @@
             and self.upstream_attempt.has_received_bytes
         )
 
+    @property
+    def has_been_sent(self) -> bool:
+        """Whether any byte of the request may have been sent."""
+        return (
+            self.upstream_attempt is not None
+            and self.upstream_attempt.has_sent_bytes
+        )
+
     def cancel(self) -> None:
         """Abort the attempt, or do not start it."""
         if self.permit is not None:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -30,6 +30,9 @@
 """A stream with less time left than this is not placed; ms."""
 UNKNOWN_PROMPT_TOKENS = 1_000
 """Prompt size assumed if the request does not state it."""
+BUDGET_RETRY_AFTER_MS = 1_000.0
+"""Retry-After of a stream that engines turned away and that may not be sent
+again; ms."""
 MAX_PERMIT_WAIT_MS = 250.0
 """Longest wait for the permit of one engine; ms. Meanwhile another engine
 may get room."""
@@ -215,7 +218,7 @@
     def _execute(self, action: messages.Action) -> None:
         match action:
             case messages.Place(failed):
-                self._place(failed)
+                self._retry_placement(failed)
             case messages.Send():
                 self._send(action)
             case messages.Cancel(attempt):
@@ -239,6 +242,22 @@
             case messages.Fail():
                 self._fail(action)
 
+    def _retry_placement(self, failed: frozenset[str]) -> None:
+        """Place the stream again unless the retry budget is spent.
+
+        An attempt that has not reached an engine is replaced at no cost.
+        """
+        last = self.attempts[max(self.attempts)]
+        budget = self.context.budget(self.work.service.name)
+        if not last.has_been_sent or budget.spend():
+            self._place(failed)
+            return
+        self.dispatch(
+            messages.Refused(
+                states.RefusalReason.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS
+            )
+        )
+
     def _place(self, failed: frozenset[str]) -> None:
         commitment = self.context.scheduler.commitment(self.work.request)
         produced = commitment.produced_tokens if commitment else 0
@@ -330,8 +349,6 @@
         # A continued run is not placed, so it has not been checked yet.
         if send.continue_from is not None and self.end_if_blocked():
             return
-        if send.is_repeat:
-            self.context.budget(self.work.service.name).spend()
         attempt = stream_attempt.StreamAttempt(self, send)
         self.attempts[send.attempt] = attempt
         commitment = self.context.scheduler.commitment(self.work.request)
@@ -389,6 +406,19 @@
                 attempt, send, limit_monitor.Purpose.CONTINUATION
             )
 
+    def _may_continue(self, send: messages.Send) -> bool:
+        """Charge a continuation to the retry budget if it allows one."""
+        budget = self.context.budget(self.work.service.name)
+        if budget.spend(may_use_reserve=True):
+            return True
+        logs.event(
+            'continuation_over_budget',
+            request=self.work.request,
+            upstream=send.upstream.upstream,
+        )
+        self.dispatch(messages.NotRun(send.attempt))
+        return False
+
     def _unsuited_holders(self, send: messages.Send) -> frozenset[str]:
         """Return the engines that must not hold the copy of a run.
 
@@ -421,6 +451,8 @@
         send: messages.Send,
         purpose: limit_monitor.Purpose,
     ) -> None:
+        if send.continue_from is not None and not self._may_continue(send):
+            return
         self.context.statements.request_sent(
             send.upstream, self.work.request, purpose, send.attempt
         )
--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -74,9 +74,17 @@
             self.max_balance, self.balance + self.retries_per_request
         )
 
-    def spend(self) -> bool:
-        """Return whether a retry is allowed, and deduct it if so."""
-        if self.balance < 1.0:
+    def spend(self, may_use_reserve: bool = False) -> bool:
+        """Return whether a retry is allowed, and deduct it if so.
+
+        Args:
+            may_use_reserve: Whether the balance may become negative by the
+                part of the VM's share that is not in its maximum.
+        """
+        reserve = 0.0
+        if may_use_reserve:
+            reserve = self.max_balance * INITIAL_SHARE / (1 - INITIAL_SHARE)
+        if self.balance + reserve < 1.0:
             return False
         self.balance -= 1.0
         return True
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -199,7 +199,6 @@
                 None,
                 self.last_event,
                 wants_copy,
-                is_repeat=self.attempt > 1,
             )
         ]
 
@@ -219,7 +218,6 @@
                 continue_from,
                 self.last_event,
                 wants_copy=self.rules.can_copy,
-                is_repeat=True,
             )
         ]
 
@@ -407,7 +405,7 @@
         if self.run.is_lost:
             return self._handle_lost_run(now_ms)
         if self.must_move:
-            self.switch_at_ms = now_ms
+            self.switch_at_ms = now_ms + SWITCH_RETRY_MS
         return self._tick(now_ms)
 
     def _not_run(
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -220,7 +220,6 @@
             from, or None for a new run.
         last_event: Event after which to continue, or None.
         wants_copy: Whether to maintain a copy on another engine.
-        is_repeat: Whether it counts against the retry budget.
     """
 
     attempt: int
@@ -228,7 +227,6 @@
     continue_from: str | None
     last_event: int | None
     wants_copy: bool
-    is_repeat: bool
 
 
 class Cancel(msgspec.Struct, frozen=True):
--- a/tests/policy/small_parts.feature
+++ b/tests/policy/small_parts.feature
@@ -48,6 +48,10 @@
     Then a full budget of 10 retries allows 4 once its maximum is 4
     And 20 requests earn 4 retries, up to the maximum
 
+  # Guards against streams that end although the VM's share is not spent.
+  Scenario: the retries that continue a run may use the reserve
+    Then a full budget with a maximum of 6 allows 6 retries, and 2 more that continue runs
+
   Scenario Outline: retries of all VMs stay within the shared budget
     Given 6 VMs that share a burst of 52 retries and a ratio of 0.2
     When each gets 20 requests a second for 60 s, and all but those of the first 20 s need a retry
--- a/tests/steps/policy_small_parts.py
+++ b/tests/steps/policy_small_parts.py
@@ -258,6 +258,21 @@
     assert _spend_all(context.budget) == context.budget.max_balance
 
 
+@behave.then(
+    'a full budget with a maximum of {limit:d} allows {count:d} retries, and '
+    '{more:d} more that continue runs'
+)
+def reserve_used(context, limit, count, more):
+    budget = retry_budget.RetryBudget(0.2, limit)
+    assert _spend_all(budget) == count
+    found = 0
+    while budget.spend(may_use_reserve=True):
+        found += 1
+    assert found == more, found
+    budget.earn()
+    assert not budget.spend()
+
+
 def _spend_all(budget):
     count = 0
     while budget.spend():
