Bound the bytes that all connections hold together

A stream of comments without end held up all other callers for 5 s.

Cause: each connection had a bound, but not their sum, and a body was read as fast as it came. Comments were forwarded one by one without a bound.

Change: a response to a call waits in the kernel while its caller is behind; unsent bytes of all connections share a quarter of the memory limit; 256 KiB of a response are kept instead of 1 MiB; 16 KiB of comments between two events break the attempt.

--- a/eelgrassknot/entry.py
+++ b/eelgrassknot/entry.py
@@ -66,6 +66,9 @@
 FLEET_SAMPLE_SIZE = 2
 """Number of engines of a region that a stream considers if the VMs are not
 all linked with each other."""
+BYTES_PER_MB = 1_000_000
+UNSENT_SHARE = 0.25
+"""Share of the memory limit for bytes that peers have yet to read."""
 EXIT_RESERVE_MS = 100.0
 """How long before the end of the grace period the process exits; ms."""
 
@@ -87,6 +90,9 @@
         self.dialect = dialect
         self.generator = random.Random(ids.random_id())
         self.loop = loops.EventLoop(clocks.BootClock())
+        self.loop.max_unsent_bytes = int(
+            settings.memory_mb * BYTES_PER_MB * UNSENT_SHARE
+        )
         upstream_health = health.HealthTracker()
         region = ids.RegionId(settings.region)
         self.replicated_state = replicated_state.ReplicatedState(
--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -103,7 +103,7 @@
         A large response is streamed, which rules out a retry.
         """
         if self.is_streaming:
-            self.work.exchange.send(data)
+            self._forward(data)
             return
         self.body += data
         if len(self.body) <= upstream_connection.MAX_BUFFERED_BYTES:
@@ -357,7 +357,14 @@
             self.status,
             self.context.dialect.response_headers(self.upstream_headers),
         )
-        self.work.exchange.send(bytes(self.body))
+        self.work.exchange.on_drain = self.attempt.resume_reading
+        body, self.body = bytes(self.body), bytearray()
+        self._forward(body)
+
+    def _forward(self, data: bytes) -> None:
+        self.work.exchange.send(data)
+        if self.work.exchange.is_congested and not self.attempt.is_over:
+            self.attempt.pause_reading()
 
     def _finish_waiting(self, responded: bool) -> None:
         """Record that the upstream has begun to respond, or never will."""
--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -71,6 +71,7 @@
         on_abort: Called once with the reason if the exchange ends early.
         on_limit: Called with an earlier time by which the exchange must
             end.
+        on_drain: Called when the caller is no longer congested.
         is_over: Whether the response is complete or the caller has
             disconnected.
         started: Whether the head of the response has been sent.
@@ -83,9 +84,15 @@
         self.request = request
         self.on_abort: collections.abc.Callable[[str], None] | None = None
         self.on_limit: collections.abc.Callable[[float], None] | None = None
+        self.on_drain: collections.abc.Callable[[], None] | None = None
         self.is_over = False
         self.started = False
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller reads more slowly than the response comes."""
+        return self.connection.transport.is_congested
+
     def start(self, status: int, headers: Headers) -> None:
         """Send the head of the response.
 
@@ -222,6 +229,11 @@
         """Handle the end of a connection whose responses have been sent."""
         self.server.connection_closed(self)
 
+    def drained(self) -> None:
+        """Continue a response for which the caller was too slow."""
+        if self.exchange is not None and self.exchange.on_drain is not None:
+            self.exchange.on_drain()
+
     def ended(self, error: OSError | None) -> None:
         """Handle a connection that the caller closed or that broke."""
         self.transport.abort() if error else self.transport.close()
--- a/eelgrassknot/forwarding/connection.py
+++ b/eelgrassknot/forwarding/connection.py
@@ -18,6 +18,10 @@
 MAX_BUFFERED_BYTES = 4_194_304
 """Maximum bytes buffered for a peer that does not read; equals the largest
 body allowed."""
+CONGESTED_BYTES = 262_144
+"""Bytes buffered for a peer from which it is congested."""
+FAIR_BYTES = 65_536
+"""Bytes that a connection may always buffer, whatever the others do."""
 USER_TIMEOUT_MS = 4_000
 """TCP_USER_TIMEOUT: unacknowledged bytes close a connection after this
 time; ms. Equals the contact bound."""
@@ -40,6 +44,9 @@
     def flushed(self) -> None:
         """Called when a closing connection has sent its buffered bytes."""
 
+    def drained(self) -> None:
+        """Called when a connection is no longer congested."""
+
     def sends_rest(self) -> bool:
         """Called when the peer ends its side while bytes are unsent.
 
@@ -65,6 +72,7 @@
         closed: Whether the socket is closed.
         peer_finished: Whether the peer has ended its side.
         bytes_sent: Bytes passed to the kernel so far.
+        reading_paused: Whether received bytes are left in the kernel.
     """
 
     def __init__(
@@ -79,6 +87,7 @@
         self.closed = False
         self.peer_finished = False
         self.bytes_sent = 0
+        self.reading_paused = False
         self.mask = 0
 
     @classmethod
@@ -116,6 +125,21 @@
         """Whether the connection is neither closed nor being closed."""
         return not self.closed and not self.closing
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether the peer reads more slowly than bytes are sent."""
+        return len(self.send_buffer) > CONGESTED_BYTES
+
+    def pause_reading(self) -> None:
+        """Stop reading, so that the peer can send no more."""
+        self.reading_paused = True
+        self._update_interest()
+
+    def resume_reading(self) -> None:
+        """Read on after a pause."""
+        self.reading_paused = False
+        self._update_interest()
+
     def send(self, data: bytes) -> None:
         """Send bytes, or buffer them until the peer reads."""
         if self.closed or not data:
@@ -125,7 +149,8 @@
         if self.closed or not data:
             return
         self.send_buffer += data
-        if len(self.send_buffer) > MAX_BUFFERED_BYTES:
+        self.loop.unsent_bytes += len(data)
+        if self._buffers_too_much():
             self.abort()
             error = OSError(errno.ENOBUFS, 'the peer does not read')
             self.loop.call_soon(lambda: self.handler.ended(error))
@@ -146,13 +171,28 @@
             )
         self._close_socket()
 
+    def _buffers_too_much(self) -> bool:
+        buffered = len(self.send_buffer)
+        if buffered > MAX_BUFFERED_BYTES:
+            return True
+        return (
+            buffered > FAIR_BYTES
+            and self.loop.unsent_bytes > self.loop.max_unsent_bytes
+        )
+
     def _update_interest(self) -> None:
-        mask = 0 if self.peer_finished else selectors.EVENT_READ
+        mask = 0
+        if not self.peer_finished and not self.reading_paused:
+            mask |= selectors.EVENT_READ
         if self.send_buffer or self.connecting:
             mask |= selectors.EVENT_WRITE
-        if mask != self.mask and not self.closed:
-            self.mask = mask
+        if mask == self.mask or self.closed:
+            return
+        self.mask = mask
+        if mask:
             self.loop.watch(self.stream, mask, self._on_ready)
+        else:
+            self.loop.unwatch(self.stream)
 
     def _on_ready(self, mask: int) -> None:
         if self.connecting:
@@ -173,10 +213,16 @@
         self._flush()
 
     def _flush(self) -> None:
+        was_congested = self.is_congested
         if self.send_buffer and not self.closed:
-            del self.send_buffer[: self._send_now(self.send_buffer)]
+            sent = self._send_now(self.send_buffer)
+            # The buffer is empty if the connection has broken.
+            del self.send_buffer[:sent]
+            self.loop.unsent_bytes -= sent
         if self.closed:
             return
+        if was_congested and not self.is_congested:
+            self.handler.drained()
         if self.closing and not self.send_buffer:
             self._close_socket()
             self.handler.flushed()
@@ -191,9 +237,7 @@
         except OSError as error:
             # Reported from the loop, because the sender may be in the
             # middle of a state change.
-            self.closed = True
-            self.loop.unwatch(self.stream)
-            self.stream.close()
+            self._close_socket()
             self.loop.call_soon(functools.partial(self.handler.ended, error))
             return 0
         self.bytes_sent += count
@@ -225,6 +269,8 @@
         if self.closed:
             return
         self.closed = True
+        self.loop.unsent_bytes -= len(self.send_buffer)
+        self.send_buffer.clear()
         self.loop.unwatch(self.stream)
         self.stream.close()
 
--- a/eelgrassknot/forwarding/loop.py
+++ b/eelgrassknot/forwarding/loop.py
@@ -14,6 +14,7 @@
 __all__ = ['EventLoop', 'Timer']
 
 MAX_WAIT_MS = 1_000.0
+DEFAULT_MAX_UNSENT_BYTES = 32 * 1_048_576
 """Maximum wait for an event; ms. Bounds the delay of a stop."""
 WAKEUP_READ_BYTES = 4_096
 
@@ -60,6 +61,8 @@
         self.timers: list[tuple[float, int, Timer]] = []
         self.timer_sequence = itertools.count()
         self.pending_calls: collections.deque[Callback] = collections.deque()
+        self.unsent_bytes = 0
+        self.max_unsent_bytes = DEFAULT_MAX_UNSENT_BYTES
         self.running = False
         self.thread_id: int | None = None
         self.may_wait = False
--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -16,6 +16,8 @@
 __all__ = ['StreamAttempt']
 
 SUCCESS_STATUSES = range(200, 300)
+MAX_COMMENT_BYTES = 16_384
+"""Maximum bytes of comments between two events."""
 SURVIVAL_EVENTS = 2
 """Number of events after which a prompt has not crashed its engine. The
 first one may have been produced before the crash."""
@@ -29,6 +31,7 @@
         status: Status of the response, or 0 before its head.
         events: Number of complete events received.
         comments: Number of comments received.
+        comment_bytes: Bytes of comments since the last event.
         head_ms: When the head was received, or None.
         first_event_ms: When the first event was received, or None.
     """
@@ -49,6 +52,7 @@
         self.permit: send_permits.PendingPermit | None = None
         self.events = 0
         self.comments = 0
+        self.comment_bytes = 0
         self.head_ms: float | None = None
         self.first_event_ms: float | None = None
 
@@ -95,6 +99,8 @@
         else:
             for event in self.splitter.feed(data):
                 self._handle_event(event)
+                if attempt.is_over:
+                    return
             buffered = len(self.splitter.pending)
         if buffered > upstream_connection.MAX_BUFFERED_BYTES:
             attempt.reject('a failure or an event is too large')
@@ -186,6 +192,10 @@
         if sse.is_comment(event):
             # Engines that have stalled may still send comments.
             self.comments += 1
+            self.comment_bytes += len(event)
+            if self.comment_bytes > MAX_COMMENT_BYTES:
+                self.upstream_attempt.reject('too many comments')
+                return
             self.driver.dispatch(messages.CommentReceived(self.number, event))
             return
         self._record_event()
@@ -193,6 +203,7 @@
 
     def _record_event(self) -> None:
         self.events += 1
+        self.comment_bytes = 0
         if self.events == SURVIVAL_EVENTS:
             self.driver.report_survival()
         if self.first_event_ms is None:
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -32,7 +32,7 @@
 """Idle time after which a connection may have been dropped unnoticed; ms."""
 MAX_IDLE_PER_UPSTREAM = 16
 MAX_HEAD_BYTES = 65_536
-MAX_BUFFERED_BYTES = 1_048_576
+MAX_BUFFERED_BYTES = 262_144
 """Maximum bytes of a response, or of one event of a stream, that are kept
 until it is complete, and of what precedes a response on its connection."""
 MAX_PRECEDING_RESPONSES = 16
@@ -331,6 +331,15 @@
         if not self.is_over:
             self._fail(Fault.BROKEN)
 
+    def pause_reading(self) -> None:
+        """Leave what the upstream sends in the kernel."""
+        self.pooled.connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on unless the attempt has ended."""
+        if not self.is_over:
+            self.pooled.connection.resume_reading()
+
     def cancel(self) -> None:
         """Abort the attempt and close its connection to the upstream."""
         if self.is_over:
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -176,6 +176,20 @@
     _send_without_end(handler, b'x', SLOW_PAUSE_S)
 
 
+def _endless_length(handler: users_http.Handler, request: str) -> None:
+    handler.send_response_only(200)
+    handler.send_header('Request-Id', request)
+    handler.send_header('Server-Stamp', f's-{request}')
+    handler.send_header('Content-Length', '99999999999')
+    handler.end_headers()
+    _send_without_end(handler)
+
+
+def _endless_comments(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request)
+    _send_without_end(handler, b': x\n\n' * (ENDLESS_BLOCK_BYTES // 5))
+
+
 def _endless_failure(handler: users_http.Handler, request: str) -> None:
     _send_head(handler, request, 500)
     _send_without_end(handler)
@@ -203,10 +217,12 @@
     'comment_only': _comment_only,
     'cut_event': _cut_event,
     'endless_body': _endless_body,
+    'endless_comments': _endless_comments,
     'endless_event': _endless_event,
     'endless_failure': _endless_failure,
     'endless_head': _endless_head,
     'endless_interim': _endless_interim,
+    'endless_length': _endless_length,
     'endless_other': _endless_other,
     'endless_others': _endless_others,
     'endless_success': _endless_success,
--- a/tests/forwarding/endless.feature
+++ b/tests/forwarding/endless.feature
@@ -64,6 +64,22 @@
       | endless_others  |
       | endless_event   |
 
+  # Guards against events and comments that hold up all other callers.
+  Scenario: a stream of comments without end is cut off and resumed
+    Given the next response of the engines is endless_comments
+    When a stream is read to its end
+    Then all 40 events come once and in order and it has run once
+    And the servers soon see those connections closed
+    And a booking is served
+
+  # Guards against memory that is bounded for each connection, but not for all.
+  Scenario: many callers that read slowly do not exhaust the VM's memory
+    Given the next 100 responses of each server are endless_length
+    When 60 callers each read 64 KiB of a booking every 50 ms for 4 s
+    Then the VM's memory has stayed under its limit
+    And the servers soon see those connections closed
+    And a booking is served once the servers are sound
+
   # Guards against buffering all that an engine sends until the timeout.
   Scenario: a copy of a run's memory with a response without end fails
     Given a state without maintained copies is in force
--- a/tests/steps/forwarding_endless.py
+++ b/tests/steps/forwarding_endless.py
@@ -110,6 +110,42 @@
                 context.reset_after_s = time.monotonic() - started_s
 
 
+def _read_slowly(context, pause_ms, end_s):
+    headers = {'Request-Id': f'e{next(_numbers)}', 'Credential': 'key-one'}
+    with entry_process.Caller(context.entry.ports['callers']) as caller:
+        caller.send('POST', '/book/x', headers, b'{}')
+        caller.stream.settimeout(end_s - time.monotonic())
+        while time.monotonic() < end_s:
+            try:
+                if not caller.stream.recv(READ_BYTES):
+                    return
+            except (TimeoutError, ConnectionResetError):
+                return
+            time.sleep(pause_ms / 1_000)
+
+
+@behave.when(
+    '{count:d} callers each read 64 KiB of a booking every {pause_ms:d} ms '
+    'for {span:d} s'
+)
+def read_slowly(context, count, pause_ms, span):
+    end_s = time.monotonic() + span
+    with concurrent.futures.ThreadPoolExecutor(count) as executor:
+        for _ in range(count):
+            executor.submit(_read_slowly, context, pause_ms, end_s)
+
+
+@behave.then('a booking is served once the servers are sound')
+def served_when_sound(context):
+    for desk in context.desks:
+        desk.faults = []
+    entry_process.wait_until(
+        lambda: _ask(context, 'POST', '/book/x')[1].status == 200,
+        SOON_S,
+        context.entry.log,
+    )
+
+
 @behave.then('its connection was reset after {least:d} to {most:d} s')
 def reset_in_time(context, least, most):
     took_s = context.reset_after_s
