--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -22,7 +22,8 @@
     'deadline': "the route's timeout or the caller's deadline passed",
     'upstream_lost': (
         'the upstream connection broke and there was no copy to continue '
-        'from; see attempt_failed, run_copied and upstream_listed'
+        'from, or the run that continued it broke off unanswered; see '
+        'attempt_failed, attempt_cancelled, run_copied and upstream_listed'
     ),
     'upstream_unreachable': (
         'several upstreams refused the request or were unreachable'
@@ -38,6 +39,10 @@
         'several engines crashed under parts of its prompt; see '
         'stream_blocked and parts_blocked'
     ),
+    'retry_budget': (
+        'upstreams turned the request away and the retry budget of the VM '
+        'is spent; see attempt_failed'
+    ),
     'upstream_limit': (
         'every upstream of the service states a request limit, and no permit '
         'came in time; see upstream_limit and permit_denied'
--- a/tests/reporting/explanation.feature
+++ b/tests/reporting/explanation.feature
@@ -10,6 +10,7 @@
       | keys_out_of_date | revoked key      |
       | upstream_lost    | no copy to continue from |
       | deadline         | deadline passed  |
+      | retry_budget     | retry budget of the VM |
       | status_500       | answered 500     |
 
   Scenario: a state change that several VMs logged is shown once
