Runs that go on may overdraw the retry budget by two shares

Cause: 68 VMs split the budget, and the runs that have to move are spread unevenly over them. A reserve of a quarter of a share was too small.

Change: the balance may be overdrawn by two shares, by continuations only.

--- a/eelgrassknot/policy/retry_budget.py
+++ b/eelgrassknot/policy/retry_budget.py
@@ -13,6 +13,10 @@
 """Share of a VM's budget that is available at its start, so that a few
 rejected calls can be retried before requests have earned retries."""
 
+RESERVE_SHARES = 2.0
+"""Shares of a VM by which retries that continue a run may overdraw its
+balance. Runs that have to move are spread unevenly over the VMs."""
+
 
 class RetryBudget:
     """Balance of retries that is earned by requests.
@@ -78,12 +82,12 @@
         """Return whether a retry is allowed, and deduct it if so.
 
         Args:
-            may_use_reserve: Whether the balance may become negative by the
-                part of the VM's share that is not in its maximum.
+            may_use_reserve: Whether the balance may become negative by
+                ``RESERVE_SHARES``.
         """
         reserve = 0.0
         if may_use_reserve:
-            reserve = self.max_balance * INITIAL_SHARE / (1 - INITIAL_SHARE)
+            reserve = self.max_balance * RESERVE_SHARES / (1 - INITIAL_SHARE)
         if self.balance + reserve < 1.0:
             return False
         self.balance -= 1.0
