--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -17,9 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
 
-from standins import ports  # noqa: E402
-from standins import users_documents  # noqa: E402
-from standins import users_platform  # noqa: E402
+from standins import ports, users_documents, users_platform
 
 RESTART_DELAY_S = 0.3
 MEBIBYTE = 1_048_576
--- a/review/tools2/server.py
+++ b/review/tools2/server.py
@@ -9,19 +9,20 @@
 """
 
 import json
+import pathlib
 import socket
 import sys
 import threading
 import time
 
-GARBAGE = b'x\n\n' * 5_000
+GARBAGE = b'x' + b'\n' * 16_002
 GARBAGE_CHUNK = b'%x\r\n%s\r\n' % (len(GARBAGE), GARBAGE)
 
 
 class Server:
     def __init__(self, name, kind, log, options):
         self.name, self.kind = name, kind
-        self.log = open(log, 'a', buffering=1)
+        self.log = pathlib.Path(log).open('a', buffering=1)
         self.lock = threading.Lock()
         self.work_s = float(options.get('work_ms', 22)) / 1_000
         self.events = int(options.get('events', 40))
@@ -37,7 +38,8 @@
         self.bad_share = float(options.get('bad_share', 0))
         self.taken = 0
         self.served = 0
-        self.spoilt = 0.0
+        # The first answer is spoilt.
+        self.spoilt = 1.0 - self.bad_share
 
     def write(self, what, request, **more):
         line = {'t': round(time.monotonic(), 4), 'server': self.name}
