--- a/review/tools2/server.py
+++ b/review/tools2/server.py
@@ -27,6 +27,8 @@
         self.work_s = float(options.get('work_ms', 22)) / 1_000
         self.events = int(options.get('events', 40))
         self.gap_s = float(options.get('gap_ms', 30)) / 1_000
+        # Streams have a length for each part, or end with their channel.
+        self.is_framed = options.get('framing', 'chunks') == 'chunks'
         self.slots = threading.Semaphore(int(options.get('slots', 6)))
         self.places = int(options.get('slots', 6)) + int(
             options.get('queue', 24)
@@ -130,18 +132,20 @@
             # No copies are kept here.
             self.reply(stream, 503, request, b'', 'Not-Executed: 1\r\n')
             return
+        framing = 'Transfer-Encoding: chunked\r\n' if self.is_framed else ''
         stream.sendall(
             f'HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n'
             f'Server-Stamp: {self.name}.{request}\r\n'
-            'Content-Type: text/event-stream\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+            f'Content-Type: text/event-stream\r\n{framing}\r\n'.encode()
         )
         is_spoilt = self.is_spoilt()
         start = int(headers.get('last-event-id', 0))
         for index in range(start + 1, self.events + 1):
             time.sleep(self.gap_s)
             event = f'id: {index}\ndata: {request} {index}\n\n'.encode()
-            stream.sendall(b'%x\r\n%s\r\n' % (len(event), event))
+            if self.is_framed:
+                event = b'%x\r\n%s\r\n' % (len(event), event)
+            stream.sendall(event)
             if is_spoilt:
                 self.write('garbage begins', request)
                 try:
@@ -149,7 +153,11 @@
                         stream.sendall(GARBAGE_CHUNK)
                 finally:
                     self.write('garbage ends', request)
-        stream.sendall(b'0\r\n\r\n')
+        self.write('all sent', request)
+        if self.is_framed:
+            stream.sendall(b'0\r\n\r\n')
+        else:
+            stream.shutdown(socket.SHUT_RDWR)
 
 
 def main():
