--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -85,8 +86,8 @@
         value = json.dumps(entry).encode()
         self.platform.put('servers', name, value)
 
-    def start_vm(self, name, memory_mb=150):
-        vm = EntryVm(self, name, memory_mb)
+    def start_vm(self, name, memory_mb=150, zone='z', store=None):
+        vm = EntryVm(self, name, memory_mb, zone, store)
         self.vms.append(vm)
         return vm
 
@@ -106,6 +107,60 @@
         return events
 
 
+class StoreProxy:
+    """Way of one VM to the store; may turn the VM away with resets."""
+
+    def __init__(self, address):
+        host, port = address.split(':')
+        self.target = (host, int(port))
+        self.is_turned_away = False
+        self.streams = set()
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(64)
+        self.address = f'127.0.0.1:{self.listener.getsockname()[1]}'
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def turn_away(self, is_turned_away):
+        self.is_turned_away = is_turned_away
+        if is_turned_away:
+            for stream in list(self.streams):
+                self._reset(stream)
+
+    def _accept(self):
+        while True:
+            stream, _ = self.listener.accept()
+            if self.is_turned_away:
+                self._reset(stream)
+                continue
+            other = socket.create_connection(self.target)
+            self.streams |= {stream, other}
+            for pair in ((stream, other), (other, stream)):
+                threading.Thread(
+                    target=self._pump, args=pair, daemon=True
+                ).start()
+
+    def _pump(self, source, target):
+        try:
+            while data := source.recv(65_536):
+                target.sendall(data)
+        except OSError:
+            pass
+        for stream in (source, target):
+            self._reset(stream)
+
+    def _reset(self, stream):
+        self.streams.discard(stream)
+        try:
+            stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            stream.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        stream.close()
+
+
 class EntryVm:
     """One entry VM, restarted when it has ended, as the platform does.
 
@@ -113,7 +168,7 @@
     (DEPLOY.md, "Memory and descriptors").
     """
 
-    def __init__(self, deployment, name, memory_mb):
+    def __init__(self, deployment, name, memory_mb, zone, store):
         self.deployment, self.name = deployment, name
         self.memory_mb = memory_mb
         self.ports = dict(
@@ -124,7 +179,11 @@
             )
         )
         document = users_documents.entry_settings(
-            name, 'z', self.ports, deployment.platform.address
+            name,
+            zone,
+            self.ports,
+            store or deployment.platform.address,
+            {each: 'r' for each in ('z', 'z1', 'z2', 'z3')},
         )
         document['memory_mb'] = memory_mb
         self.settings = deployment.path / f'{name}.json'
@@ -133,6 +192,7 @@
         self.ends = []
         self.stopped = False
         self.process = None
+        self.restart_delay_s = RESTART_DELAY_S
         self._start()
         self.thread = threading.Thread(target=self._supervise, daemon=True)
         self.thread.start()
@@ -189,7 +249,7 @@
                 self.deployment.record.add(
                     f'{self.name} {cause}, {age_s:.1f} s after its start'
                 )
-                time.sleep(RESTART_DELAY_S)
+                time.sleep(self.restart_delay_s)
                 self._start()
             time.sleep(0.02)
 
--- a/review/tools2/server.py
+++ b/review/tools2/server.py
@@ -76,6 +76,10 @@
                         count += len(more)
                 else:
                     data = data[size:]
+                if lines[0].split()[1].startswith('/api/'):
+                    # No copies of runs are kept here.
+                    self.reply(stream, 503, '', b'{}')
+                    continue
                 self.answer(stream, headers, size)
         except OSError:
             return
