--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import struct
 import subprocess
@@ -20,6 +21,9 @@
 
 from standins import ports, users_documents, users_platform
 
+# The time limit of a script ends it, and all processes that it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 RESTART_DELAY_S = 0.3
 MEBIBYTE = 1_048_576
 KEY = 'key-one'
