--- a/tests/forwarding/uncontrolled_callers.feature
+++ b/tests/forwarding/uncontrolled_callers.feature
@@ -27,6 +27,7 @@
       | 64     | 1600  | half a head                             |
       | 80     | 20    | many requests at once                   |
       | 80     | 30    | many requests with heads of short lines |
+      | 80     | 300   | prompts of many parts                   |
 
   # Guards against the work that each piece of a body causes.
   Scenario: callers that send bodies in chunks of one byte do not stall a VM
@@ -35,6 +36,15 @@
     Then the entry VM is alive and its memory has stayed under its limit
     And an ordinary request is answered
 
+  # Guards against work that grows with the number of waiting streams.
+  Scenario: a crowd of waiting streams does not stall a VM
+    Given an entry VM with 150 MB that is ready
+    When 1900 callers send streams with short lines and stay
+    Then the entry VM is alive and its memory has stayed under its limit
+    And an ordinary request is answered
+    When those callers leave
+    Then an ordinary request is answered
+
   # Guards against connections that leave no descriptors for servers, peers
   # and the store.
   Scenario: a crowd of idle connections leaves descriptors for the VM's work
--- a/tests/steps/forwarding_uncontrolled_callers.py
+++ b/tests/steps/forwarding_uncontrolled_callers.py
@@ -1,5 +1,6 @@
 """Steps for callers that the operators do not control."""
 
+import collections
 import itertools
 import pathlib
 import re
@@ -19,6 +20,13 @@
 BODY_BYTES = 4_194_304
 PIPELINED_BYTES = 4_000_000
 MIN_SPARE_DESCRIPTORS = 20
+MAX_PARTS = 2_200
+"""Parts of a prompt that fill a head of the largest size."""
+STREAM_LINES = 700
+"""Header lines of a head that is just small enough to be parsed at once."""
+NEW_PARTS = 1_500
+"""The same, with parts of up to eight digits."""
+KEPT_BODIES = 4
 KEY = b'Host: a.example\r\nCredential: key-one\r\n'
 TOKENS = b'Token-Counts: 1000,160\r\n'
 _numbers = itertools.count(1)
@@ -105,6 +113,35 @@
     return b'X-Same: 1'
 
 
+def _lookup_line(number):
+    return b'X-Line-%d: %s' % (number, b'x' * 150)
+
+
+def _prompt(request, first, count):
+    """Return a request for a stream whose prompt has many parts."""
+    parts = b','.join(b'%x:1' % (first + number) for number in range(count))
+    return _stream(request, b'Prompt-Prefix: %s' % parts)
+
+
+def _new_prompt(request):
+    """Return a request whose prompt has parts that no other prompt has."""
+    return _prompt(request, next(_numbers) << 12, NEW_PARTS)
+
+
+def _stream(request, *lines, body=b''):
+    """Return a request for a stream."""
+    more = (b'Request-Id: %s' % request, b'Content-Length: %d' % len(body))
+    return _head(b'write', *more, *lines) + b'\r\n\r\n' + body
+
+
+def _payload(what):
+    """Return a function of a request's ID that returns the request."""
+    if what in _STREAMS:
+        return _STREAMS[what]
+    sent = _PAYLOADS[what]()
+    return lambda _: sent
+
+
 _LENGTH = b'Content-Length: 10'
 _LOOKUP = b'GET /look/x HTTP/1.1\r\n' + KEY + b'\r\n'
 _LONG_LOOKUP = _long_head(_short_line).replace(b'POST /book', b'GET /look')
@@ -132,17 +169,34 @@
     'bodies in chunks of one byte': lambda: _chunked(
         b'book', b'b', BODY_BYTES
     ),
+    'whole bodies': lambda: _request(b'book', b'b' * BODY_BYTES),
+    'lookups with 90 lines': lambda: (
+        _head(b'look', *map(_lookup_line, range(90))) + b'\r\n\r\n'
+    ),
+}
+_STREAMS = {
+    'whole streams': lambda request: _stream(request, body=b'b' * BODY_BYTES),
+    'new prompts of many parts': _new_prompt,
+    'prompts of many parts': lambda request: _prompt(
+        request, 0x1000, MAX_PARTS
+    ),
+    'streams with short lines': lambda request: _stream(
+        request,
+        b'Prompt-Prefix: a1:79,b2:900',
+        *[b'a:1'] * STREAM_LINES,
+    ),
 }
 
 
 @behave.when('{count:d} callers connect and send nothing and stay')
 def idle_crowd(context, count):
-    _gather(context, count, b'')
+    _gather(context, count, lambda _: b'')
 
 
 @behave.when('{count:d} callers send {what} and stay')
 def crowd(context, count, what):
-    _gather(context, count, _PAYLOADS[what]())
+    _forget_bodies(context)
+    _gather(context, count, _payload(what))
 
 
 def _gather(context, count, payload):
@@ -152,6 +206,27 @@
     context.add_cleanup(context.crowd.close)
 
 
+@behave.when(
+    '{count:d} callers return {rounds:d} times, sending {what} and {conduct}'
+)
+def returning_crowd(context, count, rounds, what, conduct):
+    _forget_bodies(context)
+    crowd = crowds.ReturningCrowd(
+        context.entry.ports['callers'],
+        count,
+        rounds,
+        _payload(what),
+        crowds.Conduct(conduct),
+    )
+    print('outcomes:', dict(crowd.outcomes))
+
+
+def _forget_bodies(context):
+    """Keep only a few of the bodies that the stand-ins receive."""
+    for upstream in context.desks + context.engines:
+        upstream.bodies = collections.deque(maxlen=KEPT_BODIES)
+
+
 @behave.when('those callers leave')
 def crowd_leaves(context):
     context.crowd.close()
