A finished request releases its objects without the cyclic collector

Cause: connections and their handlers, exchanges and drivers, attempts and their listeners, transfers and permits referred to each other after their end. Each finished request kept its body until the cyclic collector reached its generation, which counts allocations and not bytes; the accounting had released these bytes by then.

Change: whatever ends gives up its callbacks. A closed connection drops its handler, an exchange its callbacks, an attempt its listener, parser, body and head, a permit and a transfer their callbacks, a stream its attempts, and the accounting the connection of a closed holding.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -309,7 +309,7 @@
             self.server.handle(exchange)
         except Exception as error:
             logs.exception('request_failed', error)
-            exchange.is_over = True
+            exchange.end()
             self.abort()
 
     def _account(self) -> None:
--- a/eelgrassknot/forwarding/caller_memory.py
+++ b/eelgrassknot/forwarding/caller_memory.py
@@ -102,6 +102,7 @@
     """What is held for one connection.
 
     Attributes:
+        holder: The connection, or None once it has closed.
         held: Bytes of memory, without unsent responses.
         missing: Bytes of the body that have yet to come; an upper bound.
         progressed_ms: When the phase began, or the caller last made
@@ -110,7 +111,7 @@
         waits_since_ms: When the caller was told to wait, or None.
     """
 
-    holder: Holder
+    holder: Holder | None
     progressed_ms: float
     held: int = CONNECTION_BYTES
     missing: int = 0
@@ -176,6 +177,7 @@
         holding.phase = Phase.LEAVING
         self._stop_waiting(holding)
         self.granted.discard(holding)
+        holding.holder = None
         self._grant(now_ms)
 
     def update(
--- a/eelgrassknot/forwarding/connection.py
+++ b/eelgrassknot/forwarding/connection.py
@@ -65,9 +65,15 @@
         """Called when the peer closed (``error`` is None) or on an error."""
 
 
+_NO_HANDLER = Handler()
+
+
 class Connection:
     """One TCP connection.
 
+    A closed connection no longer refers to its handler. The two would keep
+    each other, and what the handler holds, until the cyclic collector runs.
+
     Args:
         loop: Event loop that serves the connection.
         stream: Non-blocking socket.
@@ -180,9 +186,8 @@
         self.send_buffer += data
         self.loop.unsent_bytes += len(data)
         if self._buffers_too_much():
-            self.abort()
             error = OSError(errno.ENOBUFS, 'the peer does not read')
-            self.loop.call_soon(lambda: self.handler.ended(error))
+            self._report_end_later(error, self.abort)
             return
         self._update_interest()
 
@@ -253,8 +258,9 @@
             self.awaits_drain = False
             self.handler.drained()
         if self.closing and not self.send_buffer:
+            handler = self.handler
             self._close_socket()
-            self.handler.flushed()
+            handler.flushed()
             return
         self._update_interest()
 
@@ -264,10 +270,7 @@
         except BlockingIOError:
             return 0
         except OSError as error:
-            # Reported from the loop, because the sender may be in the
-            # middle of a state change.
-            self._close_socket()
-            self.loop.call_soon(functools.partial(self.handler.ended, error))
+            self._report_end_later(error, self._close_socket)
             return 0
         self.bytes_sent += count
         return count
@@ -291,13 +294,26 @@
     def _report_end(self, error: OSError | None) -> None:
         if self.closed:
             return
+        handler = self.handler
         self._close_socket()
-        self.handler.ended(error)
+        handler.ended(error)
+
+    def _report_end_later(
+        self, error: OSError, close: collections.abc.Callable[[], None]
+    ) -> None:
+        """Close, and report the end from the loop.
+
+        The sender may be in the middle of a state change.
+        """
+        ended = functools.partial(self.handler.ended, error)
+        close()
+        self.loop.call_soon(ended)
 
     def _close_socket(self) -> None:
         if self.closed:
             return
         self.closed = True
+        self.handler = _NO_HANDLER
         self.loop.unsent_bytes -= len(self.send_buffer)
         self.send_buffer.clear()
         self.loop.unwatch(self.stream)
--- a/eelgrassknot/forwarding/exchange.py
+++ b/eelgrassknot/forwarding/exchange.py
@@ -138,7 +138,7 @@
 
     def finish(self) -> None:
         """Complete the response."""
-        self.is_over = True
+        self.end()
         self.connection.finish_response()
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
@@ -150,13 +150,19 @@
 
     def abort(self) -> None:
         """Reset the connection so that the response cannot look complete."""
-        self.is_over = True
+        self.end()
         self.connection.abort()
 
     def notify_aborted(self, reason: str) -> None:
         """Report that the response cannot be completed."""
         if self.is_over:
             return
+        on_abort = self.on_abort
+        self.end()
+        if on_abort is not None:
+            on_abort(reason)
+
+    def end(self) -> None:
+        """Release the callbacks, which refer to the request's driver."""
         self.is_over = True
-        if self.on_abort is not None:
-            self.on_abort(reason)
+        self.on_abort = self.on_limit = self.on_drain = None
--- a/eelgrassknot/forwarding/kv_transfer.py
+++ b/eelgrassknot/forwarding/kv_transfer.py
@@ -28,6 +28,9 @@
     target: model.Upstream
 
 
+Callback = collections.abc.Callable[[TransferPlan, str | None], None]
+
+
 class KvTransfer(upstream_connection.AttemptListener):
     """Requests the transfer from the source and waits for its completion.
 
@@ -43,7 +46,7 @@
         self,
         context: works.Context,
         plan: TransferPlan,
-        on_done: collections.abc.Callable[[TransferPlan, str | None], None],
+        on_done: Callback,
         may_use_target: collections.abc.Callable[[], bool],
     ) -> None:
         self.context = context
@@ -77,7 +80,6 @@
     def cancel(self) -> None:
         """Abandon the transfer without a callback."""
         if not self.is_over:
-            self.is_over = True
             self._stop()
 
     def response_started(
@@ -117,9 +119,8 @@
     def _finish(self, handle: str | None) -> None:
         if self.is_over:
             return
-        self.is_over = True
-        self._stop()
-        self.on_done(self.plan, handle)
+        on_done = self._stop()
+        on_done(self.plan, handle)
 
     def _permit_answered(
         self, found: permit_policy.Grant | permit_policy.Denial
@@ -151,9 +152,14 @@
             may_send=self.may_use_target,
         )
 
-    def _stop(self) -> None:
+    def _stop(self) -> Callback:
+        """Release the callbacks; return the one for the end."""
+        self.is_over = True
+        on_done, self.on_done = self.on_done, None
+        self.may_use_target = None
         self.timer.cancel()
         if self.permit is not None:
             self.permit.cancel()
         if self.attempt is not None:
             self.attempt.cancel()
+        return on_done
--- a/eelgrassknot/forwarding/pending_permit.py
+++ b/eelgrassknot/forwarding/pending_permit.py
@@ -26,6 +26,10 @@
 Callback = collections.abc.Callable[[Result], None]
 
 
+def _ignore(_: Result) -> None:
+    """Replace the callback of a permit that is over."""
+
+
 class PermitState(enum.Enum):
     """Progress of a requested permit."""
 
@@ -95,12 +99,14 @@
     def cancel(self) -> None:
         """Prevent the callback; a permit that was issued expires."""
         self.state = PermitState.OVER
+        self.callback = _ignore
 
     def finish(self, found: Result) -> None:
         """Report the result unless it is no longer wanted."""
         if self.state is not PermitState.OVER:
-            self.state = PermitState.OVER
-            self.callback(found)
+            callback = self.callback
+            self.cancel()
+            callback(found)
 
 
 def encode(ticket: int, found: Result) -> messages.PermitReply:
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -718,6 +718,7 @@
             total_ms=round(self.now_ms() - self.work.started_ms, 1),
             **self._forwarded_end_fields(),
         )
+        self.attempts.clear()
 
     def _forwarded_end_fields(self) -> dict[str, object]:
         """Return log fields on the response that was forwarded last."""
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -85,6 +85,9 @@
         """Called when no response, or no more of it, will come."""
 
 
+_NO_LISTENER = AttemptListener()
+
+
 class _PooledConnection(connections.Handler):
     """One connection to an upstream; used by one attempt at a time."""
 
@@ -112,8 +115,9 @@
 
     def ended(self, error: OSError | None) -> None:
         self.pool.remove(self)
-        if self.attempt is not None:
-            self.attempt.connection_ended(error)
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            attempt.connection_ended(error)
 
 
 class ConnectionPool:
@@ -178,6 +182,7 @@
     def drop(self, pooled: _PooledConnection) -> None:
         """Close a connection that cannot be reused."""
         self.remove(pooled)
+        pooled.attempt = None
         pooled.connection.abort()
 
     def remove(self, pooled: _PooledConnection) -> None:
@@ -195,6 +200,9 @@
 class Attempt:
     """One request sent to one upstream, and its response.
 
+    Once it is over, it refers neither to the request nor to its driver, which
+    may keep it for the log.
+
     Args:
         pool: Pool that provides the connection.
         request: Request ID that the response must echo.
@@ -367,8 +375,7 @@
         """Abort the attempt and close its connection to the upstream."""
         if self.is_over:
             return
-        self.is_over = True
-        self._stop_timer()
+        self._end()
         self.pool.drop(self.pooled)
 
     def _read_events(self) -> None:
@@ -454,7 +461,6 @@
             self.parser.receive_data(rest)
 
     def _finish(self) -> None:
-        self.is_over = True
         reusable = (
             self.parser.our_state is h11.DONE
             and self.parser.their_state is h11.DONE
@@ -462,17 +468,27 @@
             and not self.pooled.connection.send_buffer
             and self.keep_ms > 0
         )
+        listener = self._end()
         if reusable:
             self.pool.release(self.pooled, self.keep_ms)
         else:
+            self.pooled.attempt = None
             self.pooled.connection.close()
-        self.listener.response_completed(self)
+        listener.response_completed(self)
 
     def _fail(self, fault: Fault) -> None:
+        listener = self._end()
+        self.pool.drop(self.pooled)
+        listener.attempt_failed(self, fault, self.has_sent_bytes)
+
+    def _end(self) -> AttemptListener:
+        """Release what the request holds; return the listener."""
         self.is_over = True
         self._stop_timer()
-        self.pool.drop(self.pooled)
-        self.listener.attempt_failed(self, fault, self.has_sent_bytes)
+        listener, self.listener = self.listener, _NO_LISTENER
+        self.parser = self.body = self.head = None
+        self.build_head = self.may_send = None
+        return listener
 
     def _connect_timed_out(self) -> None:
         self.timer = None
