A waiting stream costs the others no time

Cause: each submitted stream searched the engines for all streams that waited.

Change: a stream that arrives while others wait takes its turn in the loop's next iteration, so that those that arrive together share one step; one that finds nobody waiting is placed at once, as before. Within a step the engines only fill up: a search that failed is not repeated for streams that may use the same engines and need as much. Streams that wait are logged after the step, with one sum of the commitments.

--- a/eelgrassknot/forwarding/engine_scheduler.py
+++ b/eelgrassknot/forwarding/engine_scheduler.py
@@ -58,6 +58,7 @@
         streams: Drivers of all active streams.
         upstreams: All listed upstreams by name.
         callbacks: Placement callbacks of the waiting streams.
+        arrived: Streams submitted since the last step.
         speeds: Speeds of the engines.
     """
 
@@ -76,6 +77,7 @@
         self.speeds = speed_monitor.SpeedMonitor(loop, region)
         self.upstreams: dict[str, model.Upstream] = {}
         self.callbacks: dict[ids.RequestId, PlacementCallback] = {}
+        self.arrived: list[engine_queue.PlacementRequest] = []
         self.is_step_scheduled = False
         self.timer: loops.Timer | None = None
 
@@ -128,18 +130,19 @@
     def submit(
         self, order: engine_queue.PlacementRequest, callback: PlacementCallback
     ) -> None:
-        """Enqueue a stream; it is placed at once if an engine has room."""
+        """Enqueue a stream; it is placed at once if no other one waits.
+
+        Otherwise it takes its turn in the loop's next iteration. Streams that
+        arrive together then share one step, whose duration grows with their
+        number.
+        """
         self.callbacks[order.request] = callback
         self.queue.submit(order)
-        self.step()
-        if order.request in self.callbacks:
-            now_ms = self.loop.now_ms()
-            logs.event(
-                'stream_waiting',
-                request=order.request,
-                since_ms=round(now_ms - order.arrived_ms, 1),
-                **self.queue.describe(order, now_ms),
-            )
+        self.arrived.append(order)
+        if len(self.queue.waiting) == 1:
+            self.step()
+        else:
+            self.schedule_step()
 
     def withdraw(self, request: ids.RequestId) -> None:
         """Remove a waiting stream from the queue."""
@@ -271,11 +274,28 @@
             callback = self.callbacks.pop(outcome.request, None)
             if callback is not None:
                 callback(outcome)
+        self._log_arrived()
         if self.queue.waiting and self.timer is None:
             self.timer = self.loop.call_later(
                 POLL_INTERVAL_MS, self._run_timed_step
             )
 
+    def _log_arrived(self) -> None:
+        """Log the streams that wait since they were submitted."""
+        arrived, self.arrived = self.arrived, []
+        waiting = [each for each in arrived if each.request in self.callbacks]
+        if not waiting:
+            return
+        now_ms = self.loop.now_ms()
+        sums = self.queue.commitments.all_sums(now_ms)
+        for order in waiting:
+            logs.event(
+                'stream_waiting',
+                request=order.request,
+                since_ms=round(now_ms - order.arrived_ms, 1),
+                **self.queue.describe(order, sums, now_ms),
+            )
+
     def _run_scheduled_step(self) -> None:
         self.is_step_scheduled = False
         self.step()
--- a/eelgrassknot/policy/engine_queue.py
+++ b/eelgrassknot/policy/engine_queue.py
@@ -51,6 +51,26 @@
     reason: states.RefusalReason = states.RefusalReason.NO_UPSTREAM
 
 
+class _FailedSearches:
+    """Searches of one step that have found no engine.
+
+    Engines only fill up within a step. A stream that may use the same engines
+    and needs as much memory finds none either, so it is not worth a search.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: dict[collections.abc.Hashable, int] = {}
+
+    def covers(self, key: collections.abc.Hashable, tokens: int) -> bool:
+        """Return whether a search with this key is known to fail."""
+        known = self.tokens.get(key)
+        return known is not None and tokens >= known
+
+    def add(self, key: collections.abc.Hashable, tokens: int) -> None:
+        """Record a search that has failed."""
+        self.tokens[key] = min(tokens, self.tokens.get(key, tokens))
+
+
 class EngineQueue:
     """Places streams on engines as soon as there is room.
 
@@ -118,16 +138,27 @@
         held = stream_turns.HeldEngines(
             self.waiting, self.engines, sums, now_ms
         )
+        failed = _FailedSearches()
+        usable: dict[collections.abc.Hashable, list[engine_pairs.Engine]] = {}
         for entry in self.turns.in_order(self.waiting, now_ms):
             order = entry[3]
             refusal = self._unservable(order)
             if refusal is not None:
                 results.append(refusal)
                 continue
-            candidates = self._candidates(order, now_ms)
-            engine = self._choose_engine(
-                order, held.available(order, candidates), sums, now_ms
-            )
+            group = (order.service, order.excluded, order.homes)
+            candidates = usable.get(group)
+            if candidates is None:
+                candidates = self._candidates(order, now_ms)
+                usable[group] = candidates
+            key = self._search_key(order, held, now_ms)
+            engine = None
+            if not failed.covers(key, order.need.tokens):
+                engine = self._choose_engine(
+                    order, held.available(order, candidates), sums, now_ms
+                )
+                if engine is None:
+                    failed.add(key, order.need.tokens)
             wait_ms = self._limited_wait_ms(candidates, ahead[order.service])
             if engine is not None:
                 self._commit(order, engine)
@@ -173,17 +204,37 @@
         self.turns.retain(still_waiting)
         return results
 
+    def _search_key(
+        self,
+        order: PlacementRequest,
+        held: stream_turns.HeldEngines,
+        now_ms: float,
+    ) -> collections.abc.Hashable:
+        """Return what, beside its size, decides whether a stream finds room.
+
+        Streams with the same key consider the same engines.
+        """
+        reserve_share = self.departures.reserve_share(order.service, now_ms)
+        use = stream_admission.memory_use(order, reserve_share, now_ms)
+        rules = stream_admission.rules(use, reserve_share)
+        own = None
+        if self.sample_size is not None and any(r.is_sampled for r in rules):
+            own = order.request
+        elif held.holders:
+            own = (order.rank, order.need.tokens)
+        return order.service, order.excluded, order.homes, use, own
+
     def describe(
-        self, order: PlacementRequest, now_ms: float
+        self, order: PlacementRequest, sums: engine_pairs.Sums, now_ms: float
     ) -> dict[str, object]:
         """Return on what the decision on a stream depends, for the log.
 
         Args:
             order: The stream.
+            sums: Commitments at each engine.
             now_ms: The present time.
         """
         engines = self.engines.get(order.service, ())
-        sums = self.commitments.all_sums(now_ms)
         reserve_share = self.departures.reserve_share(order.service, now_ms)
         use = stream_admission.memory_use(order, reserve_share, now_ms)
         return {
