--- a/eelgrassknot/frontend/body_budget.py
+++ b/eelgrassknot/frontend/body_budget.py
@@ -52,6 +52,10 @@
     Args:
         stream: Input of the server.
         budget: The budget.
+
+    Attributes:
+        read_bytes: Bytes read so far.
+        is_complete: Whether the end of the body has been read.
     """
 
     def __init__(self, stream: typing.BinaryIO, budget: BodyBudget) -> None:
@@ -59,6 +63,7 @@
         self.budget = budget
         self.read_bytes = 0
         self.taken = 0
+        self.is_complete = False
 
     def read(self, size: int | None = None) -> bytes:
         """Return a part of the body.
@@ -72,6 +77,7 @@
             # In pieces, so that a body is counted while it comes.
             part = self.stream.read(int(min(left, PIECE_BYTES)))
             if not part:
+                self.is_complete = True
                 break
             parts.append(self._count(part))
             left -= len(part)
