--- a/eelgrassknot/decoding.py
+++ b/eelgrassknot/decoding.py
@@ -17,6 +17,7 @@
     'SmallInt',
     'check_address',
     'decode_json',
+    'is_http_status',
     'parse_address',
     'parse_digits',
 ]
@@ -25,6 +26,7 @@
 """Length at which the reason of an error is cut off; documents may be
 large."""
 MAX_PORT = 65_535
+HTTP_STATUSES = range(100, 600)
 MAX_DIGITS = 18
 """Number of digits of the longest number that fits into 64 bits with any
 digits."""
@@ -108,6 +110,19 @@
     return result.Ok(text)
 
 
+def is_http_status(status: int) -> bool:
+    """Return whether a number is the status of an HTTP response.
+
+    References:
+        RFC 9110, "HTTP Semantics", section 15.
+
+    Example:
+        >>> is_http_status(599), is_http_status(0), is_http_status(700)
+        (True, False, False)
+    """
+    return status in HTTP_STATUSES
+
+
 def parse_digits(text: str) -> int | None:
     """Return a number written with at most 18 ASCII digits, or None.
 
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -420,6 +420,9 @@
             )
             self._count_preceding_response()
             return
+        if not decoding.is_http_status(head.status_code):
+            self.reject(f'{head.status_code} is no HTTP status')
+            return
         self.response_started = True
         self.framing = response_framing.framing_of(head)
         self.keep_ms = _keep_alive_ms(headers)
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -16,6 +16,31 @@
       | HTTP/1.1 200 OK\r\nX-Reques                  |
       | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n |
 
+  # Guards against a status outside 100 to 599 that is passed on (RFC 9110,
+  # section 15).
+  Scenario Outline: a response with the status <status> is broken off
+    Given a server that answers HTTP/1.1 <status> Odd\r\nContent-Length: 2\r\n\r\nab and closes the connection
+    When a request is sent to it
+    Then the response is broken off and bytes of the request were sent
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 700    |
+      | 999    |
+
+  Scenario Outline: a stream with the status <status> is broken off
+    Given a server that answers HTTP/1.1 <status> Odd\r\nContent-Length: 2\r\n\r\nab and closes the connection
+    When a generation is started there
+    Then the stream is broken off and bytes of the request were sent
+
+    Examples:
+      | status |
+      | 000    |
+      | 700    |
+
   Scenario Outline: a response is complete as its framing states
     Given a server that answers <bytes> and closes the connection
     When a request is sent to it
