A connection closed in the same iteration gets no further event

Operators saw: event=callback_failed why="OSError(9, 'Bad file descriptor')" when a caller left while the connection to its upstream was being opened.

Cause: the loop calls back for all sockets that were ready at once. A callback that closed another one of them did not stop the event of that one, which asked a closed socket for its error.

Change: the events of a closed connection are dropped.

--- a/eelgrassknot/forwarding/connection.py
+++ b/eelgrassknot/forwarding/connection.py
@@ -229,6 +229,9 @@
             self.loop.unwatch(self.stream)
 
     def _on_ready(self, mask: int) -> None:
+        if self.closed:
+            # Closed by another callback of the same iteration.
+            return
         if self.connecting:
             self._finish_connecting()
             return
--- a/tests/forwarding/released_objects.feature
+++ b/tests/forwarding/released_objects.feature
@@ -10,6 +10,7 @@
   Scenario Outline: <request> leaves nothing to the cyclic collector
     When <request> is sent three times while the collector is off
     Then the collector finds no object of the package
+    And no callback of the loop has failed
 
     Examples:
       | request                                      |
--- a/tests/steps/forwarding_released_objects.py
+++ b/tests/steps/forwarding_released_objects.py
@@ -3,9 +3,11 @@
 import collections
 import gc
 import itertools
+import unittest.mock
 
 import behave
 
+from eelgrassknot import logs
 from tests import entry_process
 from tests import entry_thread
 
@@ -23,6 +25,9 @@
 def entry_in_process(context):
     context.entry = entry_thread.EntryThread(context.platform.address, 'vm-1')
     _entries.append(context.entry)
+    patch = unittest.mock.patch.object(logs, 'exception')
+    context.failures = patch.start()
+    context.add_cleanup(patch.stop)
     context.add_cleanup(context.entry.stop)
     context.entry.wait_ready()
 
@@ -143,6 +148,11 @@
     context.entry.call(lambda: None)
 
 
+@behave.then('no callback of the loop has failed')
+def no_failures(context):
+    assert not context.failures.call_args_list, context.failures.call_args_list
+
+
 @behave.then('the collector finds no object of the package')
 def nothing_left(context):
     gc.set_debug(gc.DEBUG_SAVEALL)
