Cancelled timers do not pile up in the loop's heap

What a finished request left behind, beside its objects: the timers of its deadline, attempt and connection stayed in the heap until they were due, up to a minute later. 100,000 cancelled timers were 100,000 entries, some 200 bytes each; callers that come and go quickly add several a request.

Change: once the heap may consist of cancelled timers by half, they are removed. The work is constant for each timer on average.

Tests: loop.feature; 100,500 timers were kept before, at most 2,048 now. That the others are called in order passed before and now.

--- a/eelgrassknot/forwarding/loop.py
+++ b/eelgrassknot/forwarding/loop.py
@@ -17,6 +17,8 @@
 """Maximum wait for an event; ms. Bounds the delay of a stop."""
 DEFAULT_MAX_UNSENT_BYTES = 32 * 1_048_576
 WAKEUP_READ_BYTES = 4_096
+MIN_TIMERS = 1_024
+"""Number of timers up to which cancelled ones are kept until they are due."""
 
 Callback = collections.abc.Callable[[], None]
 
@@ -43,7 +45,7 @@
     def cancel(self) -> None:
         """Prevent the callback from being called.
 
-        The timer stays in the loop's heap until it is due. What the callback
+        The timer stays in the loop's heap for a while. What the callback
         refers to, such as the body of a request, is released at once.
         """
         self.cancelled = True
@@ -69,6 +71,7 @@
         self.selector = selectors.DefaultSelector()
         self.timers: list[tuple[float, int, Timer]] = []
         self.timer_sequence = itertools.count()
+        self.timers_to_check = MIN_TIMERS
         self.pending_calls: collections.deque[Callback] = collections.deque()
         self.calls_in_turn: collections.deque[Callback] = collections.deque()
         self.unsent_bytes = 0
@@ -90,6 +93,8 @@
         """Schedule a callback at a time of the loop's clock."""
         timer = Timer(due_ms, callback)
         heapq.heappush(self.timers, (due_ms, next(self.timer_sequence), timer))
+        if len(self.timers) >= self.timers_to_check:
+            self._drop_cancelled_timers()
         return timer
 
     def call_later(self, delay_ms: float, callback: Callback) -> Timer:
@@ -167,6 +172,12 @@
             due.append(heapq.heappop(self.timers)[2])
         return due
 
+    def _drop_cancelled_timers(self) -> None:
+        """Remove the cancelled timers once they may be half of all."""
+        self.timers = [each for each in self.timers if not each[2].cancelled]
+        heapq.heapify(self.timers)
+        self.timers_to_check = max(MIN_TIMERS, 2 * len(self.timers))
+
     def _select_timeout_s(self) -> float:
         if self.pending_calls or self.calls_in_turn:
             return 0.0
