--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -36,6 +36,11 @@
       | 1460     | none          | no generation    |
       | 1460,80  | 5c            | no generation    |
 
+  # Guards against tables that are filled with names of any length.
+  Scenario: the names of prompt parts have a bounded length
+    Then a part name of 64 characters is kept as it is
+    And a part name of 65 characters is kept as 32 others, always the same
+
   Scenario Outline: invalid server entries are rejected one by one
     Then the entry <entry> <outcome>
 
--- a/tests/steps/platform_translation.py
+++ b/tests/steps/platform_translation.py
@@ -268,3 +268,28 @@
     if last in ('front', 'ready', 'address'):
         return '"10.0.0.1:80"'
     return '7'
+
+
+def _kept_name(name):
+    headers = [
+        (b'Token-Counts', b'100,20'),
+        (b'Prompt-Prefix', f'{name}:80,b2:20'.encode()),
+    ]
+    (kept,) = wire.caller_headers(headers).generation.shared_parts
+    return kept
+
+
+@behave.then('a part name of {length:d} characters is kept as it is')
+def name_kept(context, length):
+    assert _kept_name('a' * length) == 'a' * length
+
+
+@behave.then(
+    'a part name of {length:d} characters is kept as {kept:d} others, '
+    'always the same'
+)
+def name_hashed(context, length, kept):
+    found = _kept_name('a' * length)
+    assert len(found) == kept, found
+    assert found == _kept_name('a' * length)
+    assert found != _kept_name('b' * length)
