A refused caller that has left holds nothing more

Cause: the refusal of a caller that has left fails to be sent, which closes the connection. What it held was given back only when the loop reported the end, in its next iteration. Until then the accounting counted it, refused all others that were reading, and, as the sum stayed over the bound, paused its search for 20 ms and refused what came complete.

Change: a connection reports what it holds right after it has given up, closed or not.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -356,10 +356,12 @@
                 self.send(event)
         self.reader.discard()
         self.pauses = frozenset()
+        # Also if the caller has left, which the loop has yet to report: the
+        # accounting would refuse others for what is no longer held.
+        self.account()
         if self.transport.closed:
             return
         self.transport.resume_reading()
-        self.account()
         # Keeps reading for a while: closing with unread bytes sends a
         # reset, which may discard the response.
         self.server.loop.call_later(LINGER_MS, self._close)
--- a/tests/forwarding/caller_memory.feature
+++ b/tests/forwarding/caller_memory.feature
@@ -98,6 +98,13 @@
     Then the caller unread gives up with over_bound
     And no other caller gives up
 
+  # Guards against ordinary requests that are refused for what callers held
+  # that have been refused and have left.
+  Scenario: a caller that is refused after it has left holds nothing more
+    Given a connection on which a caller sent 200 kB of a body and has left
+    When the connection gives up before the loop reports that
+    Then it is accounted for as an idle connection
+
   # Guards against idle connections that take all descriptors.
   Scenario: the connection that is idle for longest makes room
     Given 8 idle connections opened one after the other
--- a/tests/steps/forwarding_caller_memory.py
+++ b/tests/steps/forwarding_caller_memory.py
@@ -1,12 +1,18 @@
 """Steps for the accounting of what is held for callers."""
 
 import random
+import socket
+import struct
+import unittest.mock
 
 import behave
 import h11
 
+from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import caller_connection
 from eelgrassknot.forwarding import caller_memory
 from eelgrassknot.forwarding import chunk_merger
+from eelgrassknot.forwarding import loop as loops
 from eelgrassknot.forwarding import request_head
 
 KB = 1_000
@@ -345,3 +351,56 @@
     merger = chunk_merger.ChunkMerger()
     found = merger.feed(b'1\r\nx\r\n' * count)
     assert found == b'%x\r\n%b\r\n' % (count, b'x' * count)
+
+
+def _run_until(context, condition):
+    """Run the loop until a condition holds."""
+
+    def check():
+        if condition():
+            context.loop.stop()
+        else:
+            context.loop.call_later(1.0, check)
+
+    check()
+    context.loop.run()
+
+
+@behave.given(
+    'a connection on which a caller sent {size:d} kB of a body and has left'
+)
+def caller_has_left(context, size):
+    context.loop = loops.EventLoop(clocks.MonotonicClock())
+    context.memory = caller_memory.CallerMemory(10_000_000, 10)
+    server = unittest.mock.Mock(
+        loop=context.loop,
+        memory=context.memory,
+        limits=caller_connection.DEFAULT_LIMITS,
+        draining=False,
+    )
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        caller = socket.create_connection(listener.getsockname())
+        stream, _ = listener.accept()
+    context.connection = caller_connection.CallerConnection(server, stream)
+    caller.sendall(
+        b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n\r\n'
+        + b'b' * size * 1_000
+    )
+    _run_until(context, lambda: context.memory.held > size * 1_000)
+    # Resets the connection, so that the next write fails.
+    caller.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    caller.close()
+
+
+@behave.when('the connection gives up before the loop reports that')
+def gives_up(context):
+    context.connection.give_up(caller_memory.Relief.OVER_BOUND)
+    assert context.connection.transport.closed
+
+
+@behave.then('it is accounted for as an idle connection')
+def holds_nothing(context):
+    held = context.memory.held
+    assert held <= caller_memory.CONNECTION_BYTES, held
