The pieces of a response are handled in bounded portions

Cause: all that had been read from an upstream was handled in the same iteration of the event loop. One read of 64 KiB holds up to 32,000 events, or 10,000 chunks of a byte, and each ready connection added its own. A piece costs the same whatever its size: a pass of the state machine, a timer, a send.

Change: a read handles 32 pieces at most. What is left waits, unread bytes stay in the kernel, and the loop gives one waiting response a turn of 64 pieces in each iteration. So the work of an iteration does not grow with the number of responses that wait. A head of more than 4 KiB waits for a turn, too, and its fields count. The end of a connection, a reset too, is handled after the pieces before it; a response whose caller does not read goes no further until the caller has caught up. Sound numbered events that come at once have no other bound and go through whole.

eelgrassknot_response_turns counts the turns; a response that takes 100 is logged as response_in_many_pieces.

--- a/eelgrassknot/forwarding/metrics.py
+++ b/eelgrassknot/forwarding/metrics.py
@@ -27,6 +27,7 @@
     'REFUSALS',
     'REQUESTS',
     'REQUEST_SECONDS',
+    'RESPONSE_TURNS',
     'SENDS_PREVENTED',
     'STATE_VERSION',
     'STORE_CALLS',
@@ -57,6 +58,10 @@
     'Attempts without a whole answer, by fault',
     ['fault'],
 )
+RESPONSE_TURNS = instruments.Counter(
+    'eelgrassknot_response_turns',
+    'Turns of the event loop taken by responses in many pieces',
+)
 TAKEOVERS = instruments.Counter(
     'eelgrassknot_takeovers',
     'Streams that went on at another engine',
--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -29,19 +29,33 @@
 
     def __init__(self) -> None:
         self.pending = bytearray()
+        self.searched_bytes = 0
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes."""
+        self.pending += data
+
+    def next_event(self) -> bytes | None:
+        """Remove and return the next complete event, or None."""
+        match = _END.search(self.pending, self.searched_bytes)
+        if match is None:
+            # The end of an event may have begun in the pending bytes.
+            self.searched_bytes = max(
+                0, len(self.pending) - (_MAX_END_BYTES - 1)
+            )
+            return None
+        end = match.end()
+        event = bytes(self.pending[:end])
+        # The match refers to the buffer, which could not be resized.
+        del match
+        del self.pending[:end]
+        self.searched_bytes = 0
+        return event
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes and return the events completed by them, in order."""
-        # The end of an event may have begun in the pending bytes.
-        searched = max(0, len(self.pending) - (_MAX_END_BYTES - 1))
-        self.pending += data
-        events = []
-        start = 0
-        for match in _END.finditer(self.pending, searched):
-            events.append(bytes(self.pending[start : match.end()]))
-            start = match.end()
-        del self.pending[:start]
-        return events
+        self.add(data)
+        return list(iter(self.next_event, None))
 
     @property
     def is_inside_event(self) -> bool:
--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -103,18 +103,23 @@
     def response_data(
         self, attempt: upstream_connection.Attempt, data: bytes
     ) -> None:
-        """Parse or buffer a part of the body."""
-        if self.buffered_body is not None:
-            self.buffered_body += data
-            buffered = len(self.buffered_body)
-        else:
-            for event in self.splitter.feed(data):
-                self._handle_event(event)
-                if attempt.is_over:
-                    return
-            buffered = len(self.splitter.pending)
-        if buffered > upstream_connection.MAX_BUFFERED_BYTES:
-            attempt.reject('a failure or an event is too large')
+        """Buffer a part of the body."""
+        if self.buffered_body is None:
+            self.splitter.add(data)
+            return
+        self.buffered_body += data
+        if len(self.buffered_body) > upstream_connection.MAX_BUFFERED_BYTES:
+            attempt.reject('a failure is too large')
+
+    def handle_next_event(self, attempt: upstream_connection.Attempt) -> bool:
+        """Handle the next complete event of the buffered part."""
+        event = self.splitter.next_event()
+        if event is not None:
+            self._handle_event(event)
+            return True
+        if len(self.splitter.pending) > upstream_connection.MAX_BUFFERED_BYTES:
+            attempt.reject('an event is too large')
+        return False
 
     def response_completed(self, attempt: upstream_connection.Attempt) -> None:
         """Handle the end of the response."""
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -35,6 +35,16 @@
 MAX_BUFFERED_BYTES = 262_144
 """Maximum bytes of a response, or of one event of a stream, that are kept
 until it is complete, and of what precedes a response on its connection."""
+PIECES_PER_READ = 32
+"""Number of pieces of a response that are handled when they are received."""
+PIECES_PER_TURN = 64
+"""Number of pieces that are handled in a turn of a response that has more."""
+HEADERS_PER_PIECE = 8
+"""Number of header fields that count as one piece."""
+LOGGED_TURN = 100
+"""Turn at which a response is logged."""
+COSTLY_HEAD_BYTES = 4_096
+"""A longer head is parsed in a turn."""
 MAX_PRECEDING_RESPONSES = 16
 """Maximum number of responses that precede the one to a request: interim
 ones, and late ones to earlier requests on the connection."""
@@ -76,6 +86,14 @@
     def response_data(self, attempt: 'Attempt', data: bytes) -> None:
         """Called with a part of the body."""
 
+    def handle_next_event(self, attempt: 'Attempt') -> bool:
+        """Called until it has handled all events of a part of the body.
+
+        Returns:
+            Whether there was one.
+        """
+        return False
+
     def response_completed(self, attempt: 'Attempt') -> None:
         """Called when the response is complete."""
 
@@ -226,12 +244,16 @@
         is_over: Whether the attempt has ended; no callbacks follow.
         has_received_bytes: Whether any byte came after the request was sent.
         response_started: Whether the head of the response has come.
-        preceding_bytes: Bytes received before that head.
+        preceding_bytes: Bytes received until that head was complete.
         preceding_responses: Number of interim responses and of responses
             to other requests before that head.
         is_new_connection: Whether the attempt opened a connection.
         framing: Framing of the response, or None before its head.
         connection_end: How the upstream ended the connection, or None.
+        is_paused: Whether the caller has to read what was forwarded first.
+        is_waiting: Whether received pieces wait for a turn of the loop.
+        turns: Number of turns that the response has taken.
+        is_end_parsed: Whether the parser knows of the connection's end.
     """
 
     def __init__(
@@ -266,6 +288,10 @@
         self.response_started = False
         self.framing: response_framing.Framing | None = None
         self.connection_end: response_framing.ConnectionEnd | None = None
+        self.is_end_parsed = False
+        self.is_paused = False
+        self.is_waiting = False
+        self.turns = 0
         self.preceding_bytes = 0
         self.preceding_responses = 0
         self.keep_ms = IDLE_MS
@@ -329,11 +355,10 @@
         """Parse bytes from the upstream."""
         self.has_received_bytes = True
         self.parser.receive_data(data)
-        self._read_events()
         if not self.response_started:
             self.preceding_bytes += len(data)
-            if self.preceding_bytes > MAX_BUFFERED_BYTES:
-                self.reject('too many bytes precede the response')
+        if not self._has_unhandled:
+            self._handle_received()
 
     def reject(self, reason: str) -> None:
         """Fail the attempt, because the upstream's bytes are no response."""
@@ -354,22 +379,19 @@
             if error is None
             else response_framing.ConnectionEnd.RESET
         )
-        if error is None:
-            # h11 decides whether this ends a body without a length or
-            # truncates the response.
-            self.parser.receive_data(b'')
-            self._read_events()
-        if not self.is_over:
-            self._fail(Fault.BROKEN)
+        if not self._has_unhandled:
+            self._handle_connection_end()
 
     def pause_reading(self) -> None:
-        """Leave what the upstream sends in the kernel."""
-        self.pooled.connection.pause_reading()
+        """Handle no more of the response, and leave the rest in the kernel."""
+        self.is_paused = True
+        self._update_reading()
 
     def resume_reading(self) -> None:
-        """Read on unless the attempt has ended."""
+        """Go on with the response unless the attempt has ended."""
+        self.is_paused = False
         if not self.is_over:
-            self.pooled.connection.resume_reading()
+            self._await_turn()
 
     def cancel(self) -> None:
         """Abort the attempt and close its connection to the upstream."""
@@ -378,20 +400,117 @@
         self._end()
         self.pool.drop(self.pooled)
 
-    def _read_events(self) -> None:
+    @property
+    def _has_unhandled(self) -> bool:
+        """Whether a part of what has been received may not be handled yet."""
+        return self.is_paused or self.is_waiting
+
+    def _handle_received(self) -> None:
+        """Handle received pieces, or leave them to a turn of the loop."""
+        if self._is_head_costly:
+            self._await_turn()
+        else:
+            self._handle_pieces(PIECES_PER_READ)
+
+    @property
+    def _is_head_costly(self) -> bool:
+        return (
+            not self.response_started
+            and self.preceding_bytes > COSTLY_HEAD_BYTES
+        )
+
+    def _await_turn(self) -> None:
+        """Handle the next pieces in a turn of the loop."""
+        if not self.is_waiting:
+            self.is_waiting = True
+            self.pool.loop.call_in_turn(self._take_turn)
+        self._update_reading()
+
+    def _take_turn(self) -> None:
+        self.is_waiting = False
+        if self.is_over or self.is_paused:
+            return
+        self._count_turn()
+        self._handle_pieces(PIECES_PER_TURN)
+
+    def _count_turn(self) -> None:
+        self.turns += 1
+        metrics.RESPONSE_TURNS.inc()
+        if self.turns == LOGGED_TURN:
+            logs.warning(
+                'response_in_many_pieces',
+                request=self.request,
+                address=self.pooled.address,
+            )
+
+    def _update_reading(self) -> None:
+        if self._has_unhandled:
+            self.pooled.connection.pause_reading()
+        else:
+            self.pooled.connection.resume_reading()
+
+    def _handle_pieces(self, limit: int) -> None:
+        """Handle a number of received pieces; the others await a turn."""
+        cost = 0
+        while cost < limit:
+            piece_cost = self._handle_next_piece()
+            if self.is_over or self.is_paused:
+                return
+            if piece_cost == 0:
+                self._handle_drained()
+                return
+            cost += piece_cost
+        self._await_turn()
+
+    def _handle_next_piece(self) -> int:
+        """Handle one piece of what has been received.
+
+        Returns:
+            What it counts for, or 0 if no complete piece is left.
+        """
+        if self.listener.handle_next_event(self):
+            return 1
+        if self.is_over:
+            return 0
         try:
-            while not self.is_over:
-                event = self.parser.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._handle_event(event)
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return 0
+            self._handle_event(event)
         except h11.RemoteProtocolError as error:
-            if self.pooled.connection.closed:
-                # The upstream closed the connection; the response is
-                # truncated, not malformed.
+            if self.is_end_parsed:
+                # The response is truncated, not malformed.
                 self._fail(Fault.BROKEN)
-                return
-            self.reject(str(error))
+            else:
+                self.reject(str(error))
+            return 0
+        if isinstance(event, (h11.InformationalResponse, h11.Response)):
+            return 1 + len(event.headers) // HEADERS_PER_PIECE
+        return 1
+
+    def _handle_drained(self) -> None:
+        """Read on, as all received pieces have been handled."""
+        if (
+            not self.response_started
+            and self.preceding_bytes > MAX_BUFFERED_BYTES
+        ):
+            self.reject('too many bytes precede the response')
+        elif self.connection_end is not None:
+            self._handle_connection_end()
+        else:
+            self._update_reading()
+
+    def _handle_connection_end(self) -> None:
+        if self.connection_end is response_framing.ConnectionEnd.CLOSED:
+            # h11 decides whether this ends a body without a length or
+            # truncates the response.
+            self.is_end_parsed = True
+            self.parser.receive_data(b'')
+            while self._handle_next_piece():
+                if self.is_over:
+                    return
+        if not self.is_over:
+            self._fail(Fault.BROKEN)
 
     def _handle_event(self, event: h11.Event) -> None:
         match event:
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -19,6 +19,9 @@
 SLOW_PAUSE_S = 0.05
 COMMENT_PAUSE_S = 0.1
 LARGE_BODY_BYTES = 2_097_152
+BURST_EVENTS = 3_000
+LINES_CHUNK = b'x' + b'\n' * 16_002
+"""An event without fields and 8,000 blank ones, which count as comments."""
 OTHER_REQUEST = 'another-request'
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -212,6 +215,61 @@
     _send_without_end(handler)
 
 
+def _send_chunked_head(
+    handler: users_http.Handler, request: str, status: int = 200
+) -> None:
+    handler.send_response_only(status)
+    handler.send_header('Request-Id', request)
+    handler.send_header('Server-Stamp', f's-{request}')
+    handler.send_header('Transfer-Encoding', 'chunked')
+    handler.end_headers()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def _one_byte_chunks(data: bytes) -> bytes:
+    return b''.join(_chunk(bytes([byte])) for byte in data)
+
+
+def _endless_lines(handler: users_http.Handler, request: str) -> None:
+    _send_chunked_head(handler, request)
+    handler.wfile.write(_chunk(b'id: 1\ndata: x\n\n'))
+    _send_without_end(handler, _chunk(LINES_CHUNK) * 4)
+
+
+def _endless_unnumbered(handler: users_http.Handler, request: str) -> None:
+    _send_head(handler, request)
+    _send_without_end(handler, b'data\n\n' * (ENDLESS_BLOCK_BYTES // 6))
+
+
+def _endless_tiny_events(handler: users_http.Handler, request: str) -> None:
+    _send_chunked_head(handler, request)
+    _send_without_end(handler, _one_byte_chunks(b'data: x\n\n') * 1_200)
+
+
+def _endless_tiny_chunks(handler: users_http.Handler, request: str) -> None:
+    _send_chunked_head(handler, request)
+    _send_without_end(handler, _one_byte_chunks(b'x') * 10_000)
+
+
+def _endless_tiny_failure(handler: users_http.Handler, request: str) -> None:
+    _send_chunked_head(handler, request, 500)
+    _send_without_end(handler, _one_byte_chunks(b'x') * 10_000)
+
+
+def _event_burst(handler: users_http.Handler, request: str) -> None:
+    """Send a complete stream at once."""
+    _send_chunked_head(handler, request)
+    start = int(handler.headers.get('Last-Event-Id', 0))
+    events = b''.join(
+        f'id: {index}\ndata: {request} {index}\n\n'.encode()
+        for index in range(start + 1, BURST_EVENTS + 1)
+    )
+    handler.wfile.write(_chunk(events) + b'0\r\n\r\n')
+
+
 FAULTS = {
     'blank_lines': _blank_lines,
     'comment_only': _comment_only,
@@ -223,9 +281,15 @@
     'endless_head': _endless_head,
     'endless_interim': _endless_interim,
     'endless_length': _endless_length,
+    'endless_lines': _endless_lines,
     'endless_other': _endless_other,
     'endless_others': _endless_others,
     'endless_success': _endless_success,
+    'endless_tiny_chunks': _endless_tiny_chunks,
+    'endless_tiny_events': _endless_tiny_events,
+    'endless_tiny_failure': _endless_tiny_failure,
+    'endless_unnumbered': _endless_unnumbered,
+    'event_burst': _event_burst,
     'failure': _failure,
     'head_cut': _head_cut,
     'head_only': _head_only,
