An event ID of more than 18 digits is no number

Callers saw: a stream whose engine sends an ID of more than 4,300 digits lost the events that were received together with it.

Cause: int() refuses so long a text, and the exception ended the handling of what had been received; the loop logged callback_failed.

Change: an ID of more digits than fit into 64 bits is text, as in the rest of the decoding.

--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -6,11 +6,15 @@
 
 import re
 
+from eelgrassknot import decoding
+
 __all__ = ['EventSplitter', 'event_index', 'is_comment']
 
 _END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _MAX_END_BYTES = 4
-_ID = re.compile(rb'(?:^|[\r\n])id:[ ]?(\d+)[ ]*(?:\r|\n)')
+_ID = re.compile(
+    rb'(?:^|[\r\n])id:[ ]?(\d{1,%d})[ ]*(?:\r|\n)' % decoding.MAX_DIGITS
+)
 
 
 class EventSplitter:
