Events without content are bounded, not only comments

Callers saw: a stream whose engine fell into garbage stayed open for as long as they waited, filled with lines that are no events, while a sound engine could have gone on with it.

Cause: only comments in a row were bounded, by 16 KiB. Any other event between them, a line of one byte too, started the count anew.

Change: the count ends at an event with content: with a number, once an event of the response had one, else with a data field. Beyond 16 KiB the attempt is broken and the stream goes on as after other faults. Streams without numbers keep their events with data without bound; a comment or another event below the bound is forwarded as before.

Tests, before and after: tests/forwarding/sse.feature 5 of 13 failed, 13 of 13 pass; endless.feature with two more kinds 2 of 24 failed (the streams were not resumed), 24 of 24 pass.

--- a/eelgrassknot/forwarding/sse.py
+++ b/eelgrassknot/forwarding/sse.py
@@ -8,13 +8,14 @@
 
 from eelgrassknot import decoding
 
-__all__ = ['EventSplitter', 'event_index', 'is_comment']
+__all__ = ['EventSplitter', 'event_index', 'has_data', 'is_comment']
 
 _END = re.compile(rb'\r\n\r\n|\n\n|\r\r')
 _MAX_END_BYTES = 4
 _ID = re.compile(
     rb'(?:^|[\r\n])id:[ ]?(\d{1,%d})[ ]*(?:\r|\n)' % decoding.MAX_DIGITS
 )
+_DATA = re.compile(rb'(?:^|[\r\n])data[:\r\n]')
 
 
 class EventSplitter:
@@ -78,6 +79,16 @@
     return None if match is None else int(match.group(1))
 
 
+def has_data(event: bytes) -> bool:
+    """Return whether an event has a ``data`` field; others have no effect.
+
+    Example:
+        >>> has_data(b'data: x\\n\\n'), has_data(b'x\\n\\n')
+        (True, False)
+    """
+    return _DATA.search(event) is not None
+
+
 def is_comment(event: bytes) -> bool:
     """Return whether an event has no fields, but only comments.
 
--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -17,8 +17,9 @@
 __all__ = ['StreamAttempt']
 
 SUCCESS_STATUSES = range(200, 300)
-MAX_COMMENT_BYTES = 16_384
-"""Maximum bytes of comments between two events."""
+MAX_EMPTY_BYTES = 16_384
+"""Maximum bytes of comments and of other events without content between two
+events that have one."""
 SURVIVAL_EVENTS = 2
 """Number of events after which a prompt has not crashed its engine. The
 first one may have been produced before the crash."""
@@ -35,7 +36,8 @@
         status: Status of the response, or 0 before its head.
         events: Number of complete events received.
         comments: Number of comments received.
-        comment_bytes: Bytes of comments since the last event.
+        empty_bytes: Bytes received since the last event with content.
+        is_numbered: Whether any event of the response had a number.
         head_ms: When the head was received, or None.
         first_event_ms: When the first event was received, or None.
         unread_tokens: Prompt tokens that the engine had to read when the
@@ -59,7 +61,8 @@
         self.permit: pending_permit.PendingPermit | None = None
         self.events = 0
         self.comments = 0
-        self.comment_bytes = 0
+        self.empty_bytes = 0
+        self.is_numbered = False
         self.head_ms: float | None = None
         self.first_event_ms: float | None = None
         self.unread_tokens = 0
@@ -205,21 +208,40 @@
         return self.head_ms is not None and self.buffered_body is None
 
     def _handle_event(self, event: bytes) -> None:
+        index = sse.event_index(event)
+        if self._has_content(event, index):
+            self.empty_bytes = 0
+        elif not self._may_be_empty(event):
+            return
         if sse.is_comment(event):
             # Engines that have stalled may still send comments.
             self.comments += 1
-            self.comment_bytes += len(event)
-            if self.comment_bytes > MAX_COMMENT_BYTES:
-                self.upstream_attempt.reject('too many comments')
-                return
             self.driver.dispatch(messages.CommentReceived(self.number, event))
             return
         self._record_event()
-        self.driver.event_received(self, sse.event_index(event), event)
+        self.driver.event_received(self, index, event)
+
+    def _has_content(self, event: bytes, index: int | None) -> bool:
+        """Return whether an event brings the stream forward.
+
+        Once an event has had a number, only those with a number do.
+        """
+        if index is not None:
+            self.is_numbered = True
+        if self.is_numbered:
+            return index is not None
+        return sse.has_data(event)
+
+    def _may_be_empty(self, event: bytes) -> bool:
+        """Reject the response if too much of it has no content."""
+        self.empty_bytes += len(event)
+        if self.empty_bytes <= MAX_EMPTY_BYTES:
+            return True
+        self.upstream_attempt.reject('too many events without content')
+        return False
 
     def _record_event(self) -> None:
         self.events += 1
-        self.comment_bytes = 0
         if self.events == SURVIVAL_EVENTS:
             self.driver.report_survival()
         now_ms = self.driver.now_ms()
--- a/standins/users_faults.py
+++ b/standins/users_faults.py
@@ -239,6 +239,12 @@
     _send_without_end(handler, _chunk(LINES_CHUNK) * 4)
 
 
+def _endless_tail(handler: users_http.Handler, request: str) -> None:
+    """Send a numbered event, then events without a number."""
+    _send_events(handler, request, 1)
+    _send_without_end(handler, b'data: x\n\n' * (ENDLESS_BLOCK_BYTES // 9))
+
+
 def _endless_unnumbered(handler: users_http.Handler, request: str) -> None:
     _send_head(handler, request)
     _send_without_end(handler, b'data\n\n' * (ENDLESS_BLOCK_BYTES // 6))
@@ -285,6 +291,7 @@
     'endless_other': _endless_other,
     'endless_others': _endless_others,
     'endless_success': _endless_success,
+    'endless_tail': _endless_tail,
     'endless_tiny_chunks': _endless_tiny_chunks,
     'endless_tiny_events': _endless_tiny_events,
     'endless_tiny_failure': _endless_tiny_failure,
--- a/tests/forwarding/endless.feature
+++ b/tests/forwarding/endless.feature
@@ -63,6 +63,8 @@
       | endless_other   |
       | endless_others  |
       | endless_event   |
+      | endless_lines   |
+      | endless_tail    |
 
   # Guards against events and comments that hold up all other callers.
   Scenario: a stream of comments without end is cut off and resumed
--- a/tests/forwarding/sse.feature
+++ b/tests/forwarding/sse.feature
@@ -12,3 +12,28 @@
       | 18     | 777777777777777777, 1 |
       | 19     | none, 1               |
       | 5000   | none, 1               |
+
+  # Guards against lines without end that pass as the answer of an engine.
+  Scenario Outline: events without content are bounded
+    Given an engine that sends <begin>, then 6000 times <event>
+    When the response of the engine has been received
+    Then the handling of the response <outcome>
+
+    Examples:
+      | begin             | event                | outcome      |
+      | id: 1\ndata: x    | x                    | is cut off   |
+      | id: 1\ndata: x    | event: ping          | is cut off   |
+      | id: 1\ndata: x    | data: y              | is cut off   |
+      | data: x           | event: ping          | is cut off   |
+      | data: x           | x\n\n\n\n\n\n\n\n      | is cut off   |
+      | data: x           | data: y              | goes on      |
+      | event: start      | data: y              | goes on      |
+      | id: 1\ndata: x    | id: 2\ndata: y       | goes on      |
+      | id: 1\ndata: x    | version: 2\nid: 2    | goes on      |
+
+  # Guards against a sound stream that is cut off because engines have sent
+  # signs of life in it.
+  Scenario: comments between events are counted from the last event
+    Given an engine that sends 100 times 1000 comments and an event
+    When the response of the engine has been received
+    Then the handling of the response goes on
--- a/tests/steps/forwarding_sse.py
+++ b/tests/steps/forwarding_sse.py
@@ -45,6 +45,23 @@
     context.data = b'id: %s\ndata: x\n\nid: 1\ndata: y\n\n' % (b'7' * digits)
 
 
+def _event(text):
+    return text.encode().decode('unicode_escape').encode() + b'\n\n'
+
+
+@behave.given('an engine that sends {begin}, then {count:d} times {event}')
+def given_events(context, begin, count, event):
+    context.data = _event(begin) + _event(event) * count
+
+
+@behave.given(
+    'an engine that sends {count:d} times {comments:d} comments and an event'
+)
+def given_comments(context, count, comments):
+    comment = b': still here\n\n'
+    context.data = (comment * comments + b'data: x\n\n') * count
+
+
 @behave.when('the response of the engine has been received')
 def receive(context):
     context.attempt, context.driver = _stream_attempt()
@@ -58,3 +75,9 @@
     ]
     calls = context.driver.event_received.call_args_list
     assert [call.args[1] for call in calls] == expected, calls
+
+
+@behave.then('the handling of the response {outcome}')
+def response_outcome(context, outcome):
+    is_over = context.attempt.upstream_attempt.is_over
+    assert is_over == (outcome == 'is cut off'), outcome
