--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -53,3 +53,15 @@
       | HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nab            | 503    | ab   |
       | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nab      | 200    | ab   |
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nT: u\r\n\r\n | 200 | ab |
+
+  # Guards against work that grows with the square of an event's size when it
+  # comes in small pieces.
+  Scenario: a long event in chunks of one byte is read in linear time
+    Given a stream of an engine whose events come in chunks of one byte
+    When events of 100000 bytes and of 400000 bytes are received
+    Then the longer one took less than 8 times the processor time
+
+  Scenario: events in chunks of one byte are read as they were sent
+    Given a stream of an engine whose events come in chunks of one byte
+    When 300 tokens are received
+    Then all tokens have come in order
--- a/tests/steps/http_client.py
+++ b/tests/steps/http_client.py
@@ -3,6 +3,7 @@
 import time
 
 import behave
+import msgspec
 import result
 
 from eelgrassknot import http_client
@@ -59,3 +60,58 @@
     (event,) = context.events
     assert isinstance(event, messages.StreamBroken), event
     assert event.error.bytes_left
+
+
+class _EngineStream(engine_stream.EngineStream):
+    """A stream that receives its response from the test."""
+
+    def __init__(self):
+        super().__init__('POST', 'http://127.0.0.1:1/x', b'{}', {})
+        self.started = True
+        self.ended = False
+        self.events = []
+
+    def receive_chunks(self, data):
+        """Receive each byte as a chunk; return the processor time in s."""
+        start_s = time.thread_time()
+        for byte in data:
+            self._on_body(bytes([byte]))
+        return time.thread_time() - start_s
+
+
+@behave.given('a stream of an engine whose events come in chunks of one byte')
+def given_engine_stream(context):
+    context.stream = _EngineStream()
+    context.add_cleanup(context.stream.close)
+
+
+@behave.when('events of {short:d} bytes and of {long:d} bytes are received')
+def receive_events(context, short, long):
+    context.times_s = [
+        context.stream.receive_chunks(b'data: ' + b'x' * size + b'\n\n')
+        for size in (short, long)
+    ]
+
+
+@behave.then(
+    'the longer one took less than {factor:d} times the processor time'
+)
+def took_less(context, factor):
+    short_s, long_s = context.times_s
+    assert long_s < factor * short_s, context.times_s
+
+
+@behave.when('{count:d} tokens are received')
+def receive_tokens(context, count):
+    context.tokens = [
+        messages.Token('g', 'r', index, f'word {index}')
+        for index in range(count)
+    ]
+    for token in context.tokens:
+        data = b'data: ' + msgspec.json.encode(token) + b'\n\n'
+        context.stream.receive_chunks(data)
+
+
+@behave.then('all tokens have come in order')
+def all_tokens(context):
+    assert context.stream.events == context.tokens, context.stream.events[:3]
