The HTTP client bounds the body of a response

Cause: the body was collected up to the time limit, whatever its size. The heads, interim ones too, are bounded by libcurl.

--- a/eelgrassknot/storage/http.py
+++ b/eelgrassknot/storage/http.py
@@ -15,6 +15,8 @@
 __all__ = ['HttpObjects', 'HttpTable', 'HttpVmList', 'create']
 
 READ_TIMEOUT_MS = 2_000
+MAX_READ_BYTES = 134_217_728
+"""Maximum size of what is read at once, such as a whole document."""
 WRITE_TIMEOUT_MS = 3_000
 
 _CONFLICT_STATUSES = (409, 412)
@@ -114,7 +116,10 @@
         self, path: str
     ) -> result.Result[bytes | None, base.PlatformError]:
         answer = http_client.request(
-            'GET', self.url + path, timeout_ms=READ_TIMEOUT_MS
+            'GET',
+            self.url + path,
+            timeout_ms=READ_TIMEOUT_MS,
+            max_body_bytes=MAX_READ_BYTES,
         )
         match answer:
             case result.Ok(http_client.HttpResponse(status=200, body=body)):
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -83,3 +83,15 @@
     Given a stream of an engine whose events come in chunks of one byte
     When 300 tokens are received, each after 100 comments
     Then all tokens have come in order
+
+  # Guards against a response without end that takes the memory of the VM.
+  Scenario Outline: a response over the limit is broken off
+    Given a server that sends <part> over and over
+    When a request is sent to it
+    Then the response is broken off as too large
+
+    Examples:
+      | part                            |
+      | a body                          |
+      | a body in chunks                |
+      | an interim response             |
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -10,13 +10,17 @@
 class RawServer:
     """Answers the first bytes of each connection with fixed bytes.
 
-    Attributes:
+    Args:
         answer: The bytes to send.
+        repeated: What is sent after them until the peer closes, if anything.
+
+    Attributes:
         address: ``IP:port`` of the server.
     """
 
-    def __init__(self, answer):
+    def __init__(self, answer, repeated=b''):
         self.answer = answer
+        self.repeated = repeated
         self.listener = socket.create_server(('127.0.0.1', 0))
         host, port = self.listener.getsockname()
         self.address = f'{host}:{port}'
@@ -38,3 +42,6 @@
             with connection:
                 connection.recv(65_536)
                 connection.sendall(self.answer)
+                with contextlib.suppress(OSError):
+                    while self.repeated:
+                        connection.sendall(self.repeated)
--- a/tests/steps/http_client.py
+++ b/tests/steps/http_client.py
@@ -22,6 +22,33 @@
     context.add_cleanup(context.server.stop)
 
 
+@behave.given('a server that sends {part} over and over')
+def given_endless_server(context, part):
+    block = b'x' * 65_536
+    head = b'HTTP/1.1 200 OK\r\n'
+    starts = {
+        'a body': (head + b'\r\n', block),
+        'a body in chunks': (
+            head + b'Transfer-Encoding: chunked\r\n\r\n',
+            b'10000\r\n%s\r\n' % block,
+        ),
+        'an interim response': (
+            b'',
+            b'HTTP/1.1 102 Processing\r\n\r\n' * 1_000,
+        ),
+    }
+    start, repeated = starts[part]
+    context.server = raw_server.RawServer(start, repeated)
+    context.add_cleanup(context.server.stop)
+
+
+@behave.then('the response is broken off as too large')
+def is_too_large(context):
+    assert isinstance(context.found, result.Err), context.found
+    message = context.found.err_value.message
+    assert 'too large' in message.lower(), message
+
+
 @behave.when('a request is sent to it')
 def send_request(context):
     context.add_cleanup(http_client.close_connections)
