--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -357,7 +357,7 @@
         self.parser.receive_data(data)
         if not self.response_started:
             self.preceding_bytes += len(data)
-        if not self._has_unhandled:
+        if not self._is_held:
             self._handle_received()
 
     def reject(self, reason: str) -> None:
@@ -379,7 +379,7 @@
             if error is None
             else response_framing.ConnectionEnd.RESET
         )
-        if not self._has_unhandled:
+        if not self._is_held:
             self._handle_connection_end()
 
     def pause_reading(self) -> None:
@@ -401,8 +401,8 @@
         self.pool.drop(self.pooled)
 
     @property
-    def _has_unhandled(self) -> bool:
-        """Whether a part of what has been received may not be handled yet."""
+    def _is_held(self) -> bool:
+        """Whether received pieces wait for the caller or for a turn."""
         return self.is_paused or self.is_waiting
 
     def _handle_received(self) -> None:
@@ -444,7 +444,7 @@
             )
 
     def _update_reading(self) -> None:
-        if self._has_unhandled:
+        if self._is_held:
             self.pooled.connection.pause_reading()
         else:
             self.pooled.connection.resume_reading()
--- a/tests/forwarding/many_pieces.feature
+++ b/tests/forwarding/many_pieces.feature
@@ -38,7 +38,13 @@
       | endless_tiny_failure | 12    |
 
   # Guards against a bound on small pieces that cuts off a sound stream.
-  Scenario: numbered events that arrive at once are forwarded whole
-    Given the engines answer 0 streams with event_burst
+  Scenario Outline: numbered events that arrive at once are forwarded whole
+    Given the engines answer <count> streams with endless_unnumbered
+    And the engines answer all further streams with event_burst
     When 4 streams of 3000 events are read to their end
     Then each stream has all 3000 events once and in order
+
+    Examples:
+      | count |
+      | 0     |
+      | 3     |
--- a/tests/steps/forwarding_many_pieces.py
+++ b/tests/steps/forwarding_many_pieces.py
@@ -41,6 +41,13 @@
     )
 
 
+@behave.given('the engines answer all further streams with {fault}')
+def engines_answer_further(context, fault):
+    faults = [fault] * ENGINE_FAULTS
+    for engine in context.engines:
+        engine.faults = faults
+
+
 @behave.given('the servers answer {count:d} bookings with {fault}')
 def servers_answer(context, count, fault):
     for desk in context.desks:
