Events whose number does not rise count as events without content

Callers would have waited for their deadline while an engine repeated an event without end: the state machine drops what has been forwarded, and each such event showed it that the engine was alive.

Change: only an event with a higher number than those before it has content; 16 KiB of others break the attempt, as any events without content.

--- a/eelgrassknot/forwarding/stream_attempt.py
+++ b/eelgrassknot/forwarding/stream_attempt.py
@@ -37,7 +37,7 @@
         events: Number of complete events received.
         comments: Number of comments received.
         empty_bytes: Bytes received since the last event with content.
-        is_numbered: Whether any event of the response had a number.
+        last_index: Highest number of its events, or None.
         head_ms: When the head was received, or None.
         first_event_ms: When the first event was received, or None.
         unread_tokens: Prompt tokens that the engine had to read when the
@@ -62,7 +62,7 @@
         self.events = 0
         self.comments = 0
         self.empty_bytes = 0
-        self.is_numbered = False
+        self.last_index: int | None = None
         self.head_ms: float | None = None
         self.first_event_ms: float | None = None
         self.unread_tokens = 0
@@ -224,13 +224,15 @@
     def _has_content(self, event: bytes, index: int | None) -> bool:
         """Return whether an event brings the stream forward.
 
-        Once an event has had a number, only those with a number do.
+        Once an event has had a number, only those with a higher one do.
         """
-        if index is not None:
-            self.is_numbered = True
-        if self.is_numbered:
-            return index is not None
-        return sse.has_data(event)
+        last_index = self.last_index
+        if index is None:
+            return last_index is None and sse.has_data(event)
+        if last_index is not None and index <= last_index:
+            return False
+        self.last_index = index
+        return True
 
     def _may_be_empty(self, event: bytes) -> bool:
         """Reject the response if too much of it has no content."""
--- a/tests/forwarding/sse.feature
+++ b/tests/forwarding/sse.feature
@@ -24,12 +24,23 @@
       | id: 1\ndata: x    | x                    | is cut off   |
       | id: 1\ndata: x    | event: ping          | is cut off   |
       | id: 1\ndata: x    | data: y              | is cut off   |
+      | id: 2\ndata: x    | id: 1\ndata: y       | is cut off   |
+      | id: 1\ndata: x    | id: 1\ndata: x       | is cut off   |
       | data: x           | event: ping          | is cut off   |
       | data: x           | x\n\n\n\n\n\n\n\n      | is cut off   |
       | data: x           | data: y              | goes on      |
       | event: start      | data: y              | goes on      |
-      | id: 1\ndata: x    | id: 2\ndata: y       | goes on      |
-      | id: 1\ndata: x    | version: 2\nid: 2    | goes on      |
+
+  # Guards against a bound that ends a long sound stream.
+  Scenario Outline: numbered events are not bounded
+    Given an engine that sends 6000 events with increasing IDs and <field>
+    When the response of the engine has been received
+    Then the handling of the response goes on
+
+    Examples:
+      | field      |
+      | data: x    |
+      | version: 2 |
 
   # Guards against a sound stream that is cut off because engines have sent
   # signs of life in it.
--- a/tests/steps/forwarding_sse.py
+++ b/tests/steps/forwarding_sse.py
@@ -54,6 +54,15 @@
     context.data = _event(begin) + _event(event) * count
 
 
+@behave.given(
+    'an engine that sends {count:d} events with increasing IDs and {field}'
+)
+def given_increasing(context, count, field):
+    context.data = b''.join(
+        _event(f'{field}\nid: {index}') for index in range(1, count + 1)
+    )
+
+
 @behave.given(
     'an engine that sends {count:d} times {comments:d} comments and an event'
 )
