--- a/tests/forwarding/response_pieces.feature
+++ b/tests/forwarding/response_pieces.feature
@@ -25,6 +25,12 @@
       | the last chunk        | is complete |
       | closes the connection | fails       |
 
+  # Guards against a write error that discards what has been received.
+  Scenario: a connection that breaks while pieces wait loses none of them
+    Given an upstream that answers with 500 chunks of one byte, then the last chunk
+    When a request is sent whose connection breaks after the 100th piece
+    Then 500 bytes have come before the response is complete
+
   # Guards against pieces that are forwarded to a caller that does not read.
   Scenario: no piece is handled while the attempt is paused
     Given an upstream that answers with 5000 chunks of one byte, then the last chunk
--- a/tests/steps/forwarding_response_pieces.py
+++ b/tests/steps/forwarding_response_pieces.py
@@ -172,6 +172,21 @@
     _run_until(context, _have_ended(context))
 
 
+@behave.when(
+    'a request is sent whose connection breaks after the {piece:d}th piece'
+)
+def send_and_break(context, piece):
+    listener = _send(context, context.servers[0].address)
+
+    def break_connection(attempt):
+        if len(listener.body) == piece:
+            pooled = attempt.pooled
+            context.loop.call_soon(lambda: pooled.ended(BrokenPipeError()))
+
+    listener.on_piece = break_connection
+    _run_until(context, _have_ended(context))
+
+
 @behave.then('no iteration of the loop handled more than {most:d} pieces')
 def pieces_bounded(context, most):
     assert context.most.pieces <= most, context.most.pieces
