--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -218,6 +218,10 @@
 class Attempt:
     """One request sent to one upstream, and its response.
 
+    The response is handled in pieces: the events of the HTTP parser, and the
+    events of a stream in the parts of its body. Many pieces that are received
+    at once are spread over several iterations of the loop.
+
     Once it is over, it refers neither to the request nor to its driver, which
     may keep it for the log.
 
