--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,7 @@
-"""A VM that starts after a restoration accepts a revoked key."""
+"""No request of a tenant whose name is not Latin is ever served."""
 
 import collections
-import json
+import itertools
 import pathlib
 import sys
 import threading
@@ -12,116 +12,86 @@
 
 import rig  # noqa: E402
 
-REVOKE_S = 5.0
-"""``revokeMs`` of the site."""
-KILL_S = 5.2
-RESTART_S = 0.3
-AWAY_S = 0.5
-"""How long the store is away before it comes back from its copy."""
-AGAIN_S = 2.0
-"""When the operator's state is written again, after the return."""
-END_S = 10.0
-PAUSE_S = 0.05
-REVOKED_KEY = 'key-two'
+CALM_S = 5.0
+APPLY_S = 3.0
+"""``configApplyMs`` of the site."""
+AFTER_S = 15.0
+INTERVAL_S = 0.5
+NAME = '화성시'
+PLAIN_NAME = 'hwaseong'
+NEW_KEY = 'key-three'
+SERVED_SHARE = 0.25
+KINDS = (
+    ('POST', '/booking/x', b'x', 4.0),
+    ('GET', '/lookup/x', None, 4.0),
+    ('POST', '/triage/x', b'x', 8.0),
+)
+numbers = itertools.count(1)
 
 
-class Clients:
-    """Clients that go on with a key after it has been revoked.
-
-    Attributes:
-        sent_s: When each request was sent, after the revocation.
-    """
-
-    def __init__(self, record, vms):
-        self.record = record
-        self.vms = vms
-        self.acked_s = time.monotonic()
-        self.sent_s = {}
-        self.answers = collections.Counter()
-
-    def now_s(self):
-        """Return the time since the revocation was acknowledged."""
-        return time.monotonic() - self.acked_s
+def send(record, vm, key, kind, counts):
+    """Send one request, and count whether it is served."""
+    method, path, body, timeout_s = kind
+    headers = {
+        'Request-Id': f'request-{next(numbers)}',
+        'Credential': key,
+        'Request-Deadline': int(timeout_s * 1_000) - 1_000,
+    }
+    if 'triage' in path:
+        headers['Token-Counts'] = '2200,40'
+    answer = rig.ask(vm.port, method, path, headers, timeout_s, body)
+    record.line(
+        f'{vm.name} {key} {path} {headers["Request-Id"]} -> '
+        f'{answer.status} whole={answer.whole} {answer.why}'
+    )
+    counts[key, answer.is_success] += 1
 
-    def send(self, vm, request):
-        """Send a booking with the revoked key."""
-        headers = {
-            'Request-Id': request,
-            'Credential': REVOKED_KEY,
-            'Request-Deadline': '3000',
-        }
-        self.sent_s[request] = self.now_s()
-        answer = rig.ask(vm.port, 'POST', '/booking/x', headers, 3.0, b'x')
-        self.answers[vm.name, answer.status] += 1
-        self.record.line(
-            f'{request} sent to {vm.name} {self.sent_s[request]:.3f} s after '
-            f'the ack -> {answer.status} {answer.why}'
-        )
 
-    def run(self):
-        """Send bookings to all VMs until the end."""
-        number = 0
-        while self.now_s() < END_S:
-            number += 1
-            for vm in self.vms:
-                threading.Thread(
-                    target=self.send,
-                    args=(vm, f'booking-{vm.name}-{number}'),
-                    daemon=True,
-                ).start()
-            time.sleep(PAUSE_S)
+def traffic(record, vms, keys, duration_s):
+    """Send requests of all kinds with all keys; return the counts."""
+    counts = collections.Counter()
+    threads = []
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        for vm, key, kind in itertools.product(vms, keys, KINDS):
+            thread = threading.Thread(
+                target=send, args=(record, vm, key, kind, counts), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+        time.sleep(INTERVAL_S)
+    for thread in threads:
+        thread.join()
+    record.line(f'{dict(counts)}')
+    return counts
 
 
 def play(record, trouble):
-    """Return whether a request with a revoked key runs after its bound."""
-    zones = ('z', 'y', 'x')
-    with rig.Deployment(record, zones=zones, engines=2) as deployment:
+    """Return whether the tenant of a new desired state is starved."""
+    with rig.Deployment(record, zones=('z', 'y')) as deployment:
         deployment.wait_ready()
-        platform = deployment.platform
+        calm = traffic(record, deployment.vms, [rig.KEY], CALM_S)
+        if calm[rig.KEY, False]:
+            raise rig.CannotRunError('requests fail without trouble')
         state = rig.desired_state()
+        name = NAME if trouble else PLAIN_NAME
         state['version'] = 2
-        state['tenants'][0]['apiKeys'].remove(REVOKED_KEY)
-        copy = platform.version
-        platform.put_state(state)
-        clients = Clients(record, deployment.vms)
-        record.line(f'version 2 is acknowledged; it revokes {REVOKED_KEY}')
-        sender = threading.Thread(target=clients.run, daemon=True)
-        sender.start()
-        time.sleep(KILL_S - clients.now_s())
-        if trouble:
-            vm = deployment.vms[1]
-            platform.is_down = True
-            vm.process.kill()
-            vm.process.wait()
-            record.line(f'the store is away; {vm.name} is killed')
-            time.sleep(RESTART_S)
-            vm.start()
-            time.sleep(AWAY_S - RESTART_S)
-            platform.restore(copy, ('servers',))
-            platform.is_down = False
-            record.line(
-                'the store is back from a copy made before version 2; '
-                'the servers write their entries again'
-            )
-            time.sleep(AGAIN_S)
-            platform.put('op', 'config', json.dumps(state).encode())
-            record.line('the operator has written version 2 again')
-        sender.join()
-        time.sleep(3.0)
-        ran = {
-            request: clients.sent_s[request]
-            for request in platform.runs
-            if clients.sent_s.get(request, 0.0) > REVOKE_S
-        }
-    for (name, status), count in sorted(clients.answers.items()):
-        record.line(f'{name}: {count} answers with status {status}')
-    for request, sent_s in sorted(ran.items(), key=lambda each: each[1]):
-        record.line(f'{request} has run; sent {sent_s:.3f} s after the ack')
-    record.line(
-        f'{len(ran)} requests with the revoked key have run that were sent '
-        f'later than {REVOKE_S} s after the ack'
+        state['tenants'].append({'name': name, 'apiKeys': [NEW_KEY]})
+        deployment.platform.put_state(state)
+        record.line(f'version 2 adds the tenant {name}')
+        time.sleep(APPLY_S + 1.0)
+        keys = [rig.KEY, NEW_KEY]
+        after = traffic(record, deployment.vms, keys, AFTER_S)
+        for vm in deployment.vms:
+            for text in vm.log_lines('_failed why')[:2]:
+                record.line(f'log of {vm.name}: {text}')
+    new_share = after[NEW_KEY, True] / (
+        after[NEW_KEY, True] + after[NEW_KEY, False]
     )
-    return bool(ran)
+    served = after[NEW_KEY, True] + after[rig.KEY, True]
+    all_share = served / sum(after.values())
+    record.line(f'served: the new tenant {new_share:.3f}, all {all_share:.3f}')
+    return new_share < SERVED_SHARE * all_share
 
 
 if __name__ == '__main__':
