A request that cannot be encoded ends at once

Callers saw 504 after their whole deadline, a reset, or no response at all, and nothing said that the request had not run. Cause: an exception raised while the head was built left the attempt open. On a new connection it ended in the event loop, and the caller waited; on a kept one it passed through the constructor of the attempt and the driver to the caller's connection, which was reset, while the driver went on to hold the engine memory of the stream.

The attempt now ends with a fault of its own, "unsendable", reported from the loop, since the driver has yet to store the attempt. Drivers refuse the request: 503 with the outcome not_run and a Retry-After of a minute, unless an earlier attempt may have run. The reservation is released and no server's health is lowered. A run whose continuation cannot be encoded goes on.

--- a/eelgrassknot/forwarding/call_driver.py
+++ b/eelgrassknot/forwarding/call_driver.py
@@ -161,6 +161,14 @@
         if fault is upstream_connection.Fault.WITHHELD:
             self._dispatch(messages.NotRun(self.machine.attempt))
             return
+        if fault is upstream_connection.Fault.UNSENDABLE:
+            self._dispatch(
+                messages.Refused(
+                    states.RefusalReason.NOT_SENDABLE,
+                    error_responses.RETRY_LATER_MS,
+                )
+            )
+            return
         self._record_health(False, False)
         metrics.ATTEMPT_FAULTS.inc(fault.value)
         logs.event(
--- a/eelgrassknot/forwarding/error_responses.py
+++ b/eelgrassknot/forwarding/error_responses.py
@@ -5,10 +5,12 @@
 from eelgrassknot.forwarding import caller_connection
 from eelgrassknot import states
 
-__all__ = ['RETRY_ELSEWHERE_MS', 'send_error']
+__all__ = ['RETRY_ELSEWHERE_MS', 'RETRY_LATER_MS', 'send_error']
 
 RETRY_ELSEWHERE_MS = 500.0
 """Retry-After of a request that this VM cannot serve and others may; ms."""
+RETRY_LATER_MS = 60_000.0
+"""Retry-After of a request that no VM can send as it is; ms."""
 
 _ERROR_TYPES = {
     400: 'invalid_request',
@@ -28,6 +30,11 @@
     503: 'repeat after the time in Retry-After',
     504: 'find out whether it was run before you repeat it',
 }
+_REMEDIES_BY_REASON = {
+    'not_sendable': (
+        'send the request with fewer headers, or report it to the operators'
+    ),
+}
 
 
 def send_error(
@@ -54,7 +61,9 @@
                 'type': _ERROR_TYPES.get(status, 'error'),
                 'code': reason,
                 'message': f'the request was not served: {reason}',
-                'remedy': _REMEDIES.get(status, 'see the code'),
+                'remedy': _REMEDIES_BY_REASON.get(
+                    reason, _REMEDIES.get(status, 'see the code')
+                ),
                 'outcome': outcome.value,
             }
         }
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -204,6 +204,13 @@
         if fault is upstream_connection.Fault.WITHHELD:
             self.dispatch(messages.NotRun(attempt.number, withheld=True))
             return
+        if fault is upstream_connection.Fault.UNSENDABLE:
+            self.dispatch(
+                messages.Unsendable(
+                    attempt.number, error_responses.RETRY_LATER_MS
+                )
+            )
+            return
         self.context.health.record_failure(
             attempt.upstream.upstream, self.now_ms()
         )
--- a/eelgrassknot/forwarding/upstream_connection.py
+++ b/eelgrassknot/forwarding/upstream_connection.py
@@ -67,6 +67,7 @@
     BROKEN = 'broken'
     MALFORMED = 'malformed'
     WITHHELD = 'withheld'
+    UNSENDABLE = 'unsendable'
 
 
 class AttemptListener:
@@ -337,23 +338,39 @@
         if not self.may_send():
             self._fail(Fault.WITHHELD)
             return
-        self.parser = h11.Connection(
+        try:
+            parts = self._encode_request()
+        except Exception as error:
+            logs.exception('request_not_encoded', error, request=self.request)
+            self.pool.drop(self.pooled)
+            # The caller of the constructor has yet to store the attempt.
+            self.pool.loop.call_soon(self._report_unsendable)
+            return
+        self.sent_at_ms = now_ms
+        for part in parts:
+            self.pooled.connection.send(part)
+        self.listener.request_sent(self)
+
+    def _encode_request(self) -> list[bytes | bytearray]:
+        """Return the request in the parts in which it is sent."""
+        parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self.sent_at_ms = now_ms
         head = self.build_head()
-        self.head = _shortened(head)
-        parts = [self.parser.send(head)]
+        parts = [parser.send(head)]
         if self.body:
-            parts += self.parser.send_with_data_passthrough(
+            parts += parser.send_with_data_passthrough(
                 h11.Data(data=self.body)
             )
-        parts.append(self.parser.send(h11.EndOfMessage()))
+        parts.append(parser.send(h11.EndOfMessage()))
+        self.parser, self.head = parser, _shortened(head)
         if sum(map(len, parts)) <= MAX_JOINED_BYTES:
-            parts = [b''.join(parts)]
-        for part in parts:
-            self.pooled.connection.send(part)
-        self.listener.request_sent(self)
+            return [b''.join(parts)]
+        return parts
+
+    def _report_unsendable(self) -> None:
+        if not self.is_over:
+            self._fail(Fault.UNSENDABLE)
 
     def received(self, data: bytes) -> None:
         """Parse bytes from the upstream."""
--- a/eelgrassknot/logs.py
+++ b/eelgrassknot/logs.py
@@ -98,19 +98,21 @@
     logging.error('%s', format_pairs(name, pairs))
 
 
-def exception(name: str, caught: Exception) -> None:
+def exception(name: str, caught: Exception, **pairs: object) -> None:
     """Log an unhandled exception with the place where it was raised.
 
     Args:
         name: Name of the event.
         caught: The exception.
+        **pairs: Further keys and values, which come first.
     """
     frames = traceback.extract_tb(caught.__traceback__)[-TRACE_FRAMES:]
     where = ' < '.join(
         f'{frame.name}:{frame.lineno}' for frame in reversed(frames)
     )
     logging.error(
-        '%s', format_pairs(name, {'why': repr(caught), 'where': where})
+        '%s',
+        format_pairs(name, {**pairs, 'why': repr(caught), 'where': where}),
     )
 
 
--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -53,6 +53,10 @@
         'the VM was told to stop and its grace period ended before the '
         'request did; see draining'
     ),
+    'not_sendable': (
+        'the request could not be encoded for an upstream; see '
+        'request_not_encoded'
+    ),
     'caller_left': 'the caller closed its connection',
     'complete': 'the stream was forwarded to its end',
 }
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -155,6 +155,8 @@
                 return self._attempt_broken(event, now_ms)
             case messages.NotRun():
                 return self._not_run(event, now_ms)
+            case messages.Unsendable():
+                return self._unsendable(event, now_ms)
             case messages.Blocked(retry_after_ms):
                 return self._blocked(retry_after_ms)
             case messages.UpstreamLeaving(upstream):
@@ -430,6 +432,24 @@
         self.runs_started -= 1
         return self._place_again()
 
+    def _unsendable(
+        self, event: messages.Unsendable, now_ms: float
+    ) -> list[messages.Action]:
+        run = self._find_run(event.attempt)
+        if run is None:
+            return []
+        if run is self.successor:
+            not_run = messages.NotRun(event.attempt, withheld=True)
+            return self._not_run(not_run, now_ms)
+        run.is_lost = True
+        if self.successor is not None:
+            return []
+        # No request of it has left that would have to be cancelled.
+        self.run = None
+        return self._give_up(
+            states.RefusalReason.NOT_SENDABLE.value, event.retry_after_ms
+        )
+
     def _keep_refused_copy(self, now_ms: float) -> None:
         """Keep a refused copy, which may not have existed yet."""
         copy = self.last_tried_copy
--- a/eelgrassknot/requests/stream_messages.py
+++ b/eelgrassknot/requests/stream_messages.py
@@ -34,6 +34,7 @@
     'StartAnswer',
     'StreamRules',
     'Tick',
+    'Unsendable',
     'UpstreamLeaving',
     'ZonesEvacuated',
 ]
@@ -147,6 +148,13 @@
     withheld: bool = False
 
 
+class Unsendable(msgspec.Struct, frozen=True):
+    """The request of an attempt cannot be encoded, for no upstream."""
+
+    attempt: int
+    retry_after_ms: float
+
+
 class Blocked(msgspec.Struct, frozen=True):
     """The prompt has crashed several engines and must not be sent."""
 
@@ -192,6 +200,7 @@
     | AnswerCompleted
     | AttemptBroken
     | NotRun
+    | Unsendable
     | Blocked
     | UpstreamLeaving
     | ZonesEvacuated
