Account names are sent in UTF-8, or their requests are refused

Cause: the name comes from JSON, which is UTF-8, and was encoded as Latin-1. UnicodeEncodeError is one of two ways to fail: a control character or white space at an end is rejected by h11 with LocalProtocolError, at the same place.

field_values decides the mapping once: UTF-8 in both directions, and which texts a field value can carry (RFC 9110, section 5.5). A request of an account whose name is none is refused before a server is chosen: 503, outcome not_run, code account_not_sendable, Retry-After of a minute; the line of the refusal and a fault of the state name the account. Its public routes, the other accounts and the routes of such a state are in force.

--- a/eelgrassknot/forwarding/error_responses.py
+++ b/eelgrassknot/forwarding/error_responses.py
@@ -31,6 +31,9 @@
     504: 'find out whether it was run before you repeat it',
 }
 _REMEDIES_BY_REASON = {
+    'account_not_sendable': (
+        'ask the operators to correct the name of the client account'
+    ),
     'not_sendable': (
         'send the request with fewer headers, or report it to the operators'
     ),
--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 import collections.abc
 import random
 
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import access
 from eelgrassknot.forwarding import call_driver
 from eelgrassknot.forwarding import caller_connection
@@ -24,6 +25,8 @@
 
 DRIVER_BYTES = 8_192
 """Memory of the objects of a request in progress, without head and body."""
+MAX_LOGGED_CHARACTERS = 200
+"""Length at which the name of an account is cut off in the log."""
 MAX_LOGGED_FAULTS = 5
 """Maximum number of faults logged per state; the command line lists all."""
 
@@ -170,6 +173,17 @@
             if status is access.KeyStatus.UNKNOWN_KEY:
                 self._refuse(exchange, headers, 401, 'unknown_key')
                 return
+            if not field_values.is_valid(account.account):
+                # Upstreams learn the account from a header.
+                self._refuse(
+                    exchange,
+                    headers,
+                    503,
+                    'account_not_sendable',
+                    retry_after_ms=error_responses.RETRY_LATER_MS,
+                    account=account.account[:MAX_LOGGED_CHARACTERS],
+                )
+                return
         service = self._choose_service(route)
         if service is None:
             self._refuse(exchange, headers, 503, 'no_service')
@@ -245,21 +259,39 @@
         headers: dialects.CallerHeaders,
         status: int,
         reason: str,
+        retry_after_ms: float = error_responses.RETRY_ELSEWHERE_MS,
+        **pairs: object,
     ) -> None:
+        """Refuse a request that is not forwarded.
+
+        Args:
+            exchange: The request.
+            headers: Its decoded headers.
+            status: HTTP status code.
+            reason: Error code.
+            retry_after_ms: Delay before the caller may retry, if the status
+                allows it.
+            **pairs: Further keys and values for the log.
+        """
         logs.event(
             'refused',
             request=headers.request,
             status=status,
             reason=reason,
+            **pairs,
             state_version=self.state.version if self.state else None,
             known_age_ms=self.authenticator.age_ms(self.loop.now_ms()),
         )
         metrics.REFUSALS.inc(reason)
-        outcome = states.Outcome.INVALID
-        retry_after_ms = None
         if status == 503:
-            outcome = states.Outcome.NOT_RUN
-            retry_after_ms = error_responses.RETRY_ELSEWHERE_MS
-        error_responses.send_error(
-            exchange, status, outcome, reason, retry_after_ms
-        )
+            error_responses.send_error(
+                exchange,
+                status,
+                states.Outcome.NOT_RUN,
+                reason,
+                retry_after_ms,
+            )
+        else:
+            error_responses.send_error(
+                exchange, status, states.Outcome.INVALID, reason
+            )
--- a/eelgrassknot/forwarding/state_check.py
+++ b/eelgrassknot/forwarding/state_check.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import model
 from eelgrassknot.settings import faults
 
@@ -17,7 +18,7 @@
     state: model.DeploymentState,
     regions: collections.abc.Collection[str] | None = None,
 ) -> list[faults.Fault]:
-    """Return the faults of a state, those of its home regions first.
+    """Return the faults of a state, those that stop requests first.
 
     Args:
         state: The decoded state.
@@ -29,6 +30,7 @@
         []
     """
     return [
+        *_name_faults(state),
         *_home_faults(state),
         *_region_faults(state, regions),
         *_route_faults(state),
@@ -37,6 +39,21 @@
     ]
 
 
+def _name_faults(state: model.DeploymentState) -> list[faults.Fault]:
+    """Return a fault for each account whose name no header can carry."""
+    return [
+        faults.Fault(
+            f'$.accounts[{faults.quote(account.account)}]',
+            'no HTTP header can carry the name, so that all requests of the '
+            'account are refused',
+            'write a name without control characters, and without white '
+            'space at its ends',
+        )
+        for account in state.accounts
+        if not field_values.is_valid(account.account)
+    ]
+
+
 def _home_faults(state: model.DeploymentState) -> list[faults.Fault]:
     """Return one fault for all lists of home regions that are unreadable."""
     paths = state.unreadable_homes
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -9,6 +9,7 @@
 
 from eelgrassknot import decoding
 from eelgrassknot import exceptions
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
@@ -126,6 +127,9 @@
     Args:
         raw_headers: The caller's headers in their original spelling.
         metadata: Metadata to add.
+
+    Raises:
+        ValueError: If no header can carry the name of the account.
     """
     named = set()
     for name, value in raw_headers:
@@ -143,7 +147,6 @@
     added = [
         (b'Request-Deadline', str(remaining)),
         (b'Expect-Instance', metadata.upstream),
-        (b'Tenant', metadata.account),
         (b'Request-Priority', metadata.engine_priority),
         (b'Kv-Backup', metadata.copy_to),
         (b'Kv-From', metadata.continue_from),
@@ -154,6 +157,8 @@
         for name, value in added
         if value is not None
     ]
+    if metadata.account is not None:
+        kept.append((b'Tenant', field_values.encode(metadata.account)))
     return kept
 
 
--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -14,6 +14,9 @@
         'the VM had no contact with the store or a peer for so long that a '
         'revoked key could not be excluded; see store_lost'
     ),
+    'account_not_sendable': (
+        'no header can carry the name of the client account; see state_fault'
+    ),
     'unknown_key': 'no client account in the current state has the key',
     'no_route': 'no route in the current state matches the host and path',
     'no_state': 'the VM had not read a state yet; see store_lost',
