API keys are compared as UTF-8

Requests with a key beyond ASCII got 401. Cause: the key of the state is UTF-8, as JSON is, and the header was read as Latin-1, from which white space such as U+00A0 was then taken off. A caller that sent Latin-1 was accepted, and the UTF-8 spelling of one key was the Latin-1 spelling of another: with the key C3 83 C2 A9 of one account the two bytes C3 A9 were accepted, which are the key of another one.

Both sides now use field_values; a header that is not UTF-8 has no key. A key that no header can carry is a fault of the state, which names its account and its place and not the key.

--- a/eelgrassknot/forwarding/access.py
+++ b/eelgrassknot/forwarding/access.py
@@ -8,10 +8,11 @@
 
 import enum
 
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
 
-__all__ = ['KeyAuthenticator', 'KeyStatus', 'StoreClock']
+__all__ = ['KeyAuthenticator', 'KeyStatus', 'StoreClock', 'is_usable_key']
 
 REVOCATION_MARGIN_MS = 300.0
 """Safety margin subtracted from the revocation bound; ms. Covers the time
@@ -101,7 +102,10 @@
     def replace_accounts(self, accounts: tuple[model.Account, ...]) -> None:
         """Replace the accounts by those of a newer state."""
         self.accounts = {
-            key: account for account in accounts for key in account.keys
+            key: account
+            for account in accounts
+            for key in account.keys
+            if is_usable_key(key)
         }
 
     def confirm(self, as_of_ms: float) -> None:
@@ -139,6 +143,15 @@
         return KeyStatus.VALID, account
 
 
+def is_usable_key(key: str) -> bool:
+    """Return whether a request can present a key.
+
+    Args:
+        key: A key of the state.
+    """
+    return field_values.is_valid(key)
+
+
 def account_name(
     account: model.Account | None,
 ) -> ids.ClientAccountId | None:
--- a/eelgrassknot/forwarding/state_check.py
+++ b/eelgrassknot/forwarding/state_check.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from eelgrassknot import field_values
+from eelgrassknot.forwarding import access
 from eelgrassknot.forwarding import model
 from eelgrassknot.settings import faults
 
@@ -31,6 +32,7 @@
     """
     return [
         *_name_faults(state),
+        *_key_faults(state),
         *_home_faults(state),
         *_region_faults(state, regions),
         *_route_faults(state),
@@ -54,6 +56,26 @@
     ]
 
 
+def _key_faults(state: model.DeploymentState) -> list[faults.Fault]:
+    """Return a fault for each key that no request can present.
+
+    The messages contain no keys.
+    """
+    return [
+        faults.Fault(
+            faults.item_path(
+                f'$.accounts[{faults.quote(account.account)}].keys', index
+            ),
+            'no HTTP header can carry the key, so that no request has it',
+            'give out a key without control characters, and without white '
+            'space at its ends',
+        )
+        for account in state.accounts
+        for index, key in enumerate(account.keys)
+        if not access.is_usable_key(key)
+    ]
+
+
 def _home_faults(state: model.DeploymentState) -> list[faults.Fault]:
     """Return one fault for all lists of home regions that are unreadable."""
     paths = state.unreadable_homes
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -112,7 +112,7 @@
     found = _lowercase_names(headers)
     return dialect.CallerHeaders(
         request=_parse_request_id(found.get(REQUEST_ID)),
-        key=_decode_text(found.get(API_KEY)),
+        key=_parse_key(found.get(API_KEY)),
         deadline_ms=_parse_float(found.get(DEADLINE)),
         last_event=_parse_int(found.get(LAST_EVENT)),
         generation=_parse_generation(found),
@@ -264,6 +264,10 @@
     return None if found is None else ids.RequestId(found)
 
 
+def _parse_key(value: bytes | None) -> str | None:
+    return None if value is None else field_values.decode(value)
+
+
 def _decode_text(value: bytes | None) -> str | None:
     return None if value is None else value.decode('latin-1').strip()
 
