An empty key in a state authenticates nobody

A request without a key was served as the account that has an empty key in the state. Cause: a missing key was looked up as the empty text. Such a key is now a fault of the state, and no request can present it.

--- a/eelgrassknot/forwarding/access.py
+++ b/eelgrassknot/forwarding/access.py
@@ -137,7 +137,7 @@
         if not self.is_current(now_ms):
             # A newer state may have revoked this key or added it.
             return KeyStatus.OUT_OF_DATE, None
-        account = self.accounts.get(key or '')
+        account = None if key is None else self.accounts.get(key)
         if account is None:
             return KeyStatus.UNKNOWN_KEY, None
         return KeyStatus.VALID, account
@@ -146,10 +146,12 @@
 def is_usable_key(key: str) -> bool:
     """Return whether a request can present a key.
 
+    An empty header presents none.
+
     Args:
         key: A key of the state.
     """
-    return field_values.is_valid(key)
+    return key != '' and field_values.is_valid(key)
 
 
 def account_name(
--- a/tests/forwarding/api_keys.feature
+++ b/tests/forwarding/api_keys.feature
@@ -19,6 +19,8 @@
       | UTF8:Ã©          | HEX:c3a9       | unknown |
       | UTF8:é           | HEX:c3a9       | alpha   |
       | UTF8:é           | HEX:ff         | unknown |
+      | empty            | none           | unknown |
+      | empty            | empty          | unknown |
       | line feed        | UTF8:k-1       | unknown |
 
   Scenario Outline: the check of a state reports a key that cannot be presented
@@ -27,5 +29,6 @@
 
     Examples:
       | key            |
+      | empty          |
       | line feed      |
       | trailing blank |
