Names of upstreams are sent in UTF-8, or their entries are not used

With a server or engine whose name is beyond ASCII callers got 502, 504 or nothing: a Latin-1 name was sent in other bytes than the entry spells, so that the server turned the requests away as meant for another one, and others could not be encoded. The name is now sent in UTF-8. An entry whose key no header can carry names no upstream to use, and is logged as unreadable: without the header a request could run at another process on a reused address.

--- a/eelgrassknot/platform/servers.py
+++ b/eelgrassknot/platform/servers.py
@@ -7,6 +7,7 @@
 
 from eelgrassknot import decoding
 from eelgrassknot import exceptions
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import model
 from eelgrassknot import ids
 from eelgrassknot.platform import warm_up
@@ -49,6 +50,11 @@
         regions: Region of each availability zone.
     """
     name = f'the server entry {key}'
+    if not field_values.is_valid(key):
+        # Requests name the server in a header.
+        return result.Err(
+            decoding.unreadable(name, 'no HTTP header can carry its key')
+        )
     match decoding.decode_json(value, _Server, name):
         case result.Err() as error:
             return error
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -129,7 +129,8 @@
         metadata: Metadata to add.
 
     Raises:
-        ValueError: If no header can carry the name of the account.
+        ValueError: If no header can carry the name of the upstream or of
+            the account.
     """
     named = set()
     for name, value in raw_headers:
@@ -146,7 +147,6 @@
     remaining = max(1, int(metadata.remaining_ms))
     added = [
         (b'Request-Deadline', str(remaining)),
-        (b'Expect-Instance', metadata.upstream),
         (b'Request-Priority', metadata.engine_priority),
         (b'Kv-Backup', metadata.copy_to),
         (b'Kv-From', metadata.continue_from),
@@ -157,6 +157,7 @@
         for name, value in added
         if value is not None
     ]
+    kept.append((b'Expect-Instance', field_values.encode(metadata.upstream)))
     if metadata.account is not None:
         kept.append((b'Tenant', field_values.encode(metadata.account)))
     return kept
