explain finds requests whose ID is beyond ASCII

"eelgrassknot explain" reported that no line names the request. Cause: the log quotes such values as JSON, with escapes, and the quotes were taken off as a shell does. They are now decoded as JSON.

--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -2,8 +2,8 @@
 
 import collections.abc
 import dataclasses
+import json
 import re
-import shlex
 
 __all__ = ['Explanation', 'LogLine', 'explain', 'parse_line']
 
@@ -109,7 +109,7 @@
     if start < 0:
         return None
     pairs = {
-        name: shlex.split(value)[0] if value.startswith('"') else value
+        name: _unquote(value) if value.startswith('"') else value
         for name, value in _PAIR.findall(text[start:])
     }
     if 'event' not in pairs:
@@ -117,6 +117,15 @@
     return LogLine(pairs.pop('time'), pairs, text.strip())
 
 
+def _unquote(value: str) -> str:
+    """Return the text of a value that was logged in quotes."""
+    try:
+        return json.loads(value)
+    except ValueError:
+        # Not written by this project.
+        return value
+
+
 def explain(request: str, lines: collections.abc.Iterable[str]) -> Explanation:
     """Return the history of a request and why it ended.
 
--- a/tests/reporting/explanation.feature
+++ b/tests/reporting/explanation.feature
@@ -25,3 +25,15 @@
   Scenario: the explain command prints the timeline and the cause
     Given logs of two VMs with a request that ended with reason upstream_lost
     Then the command explain prints the cause as text and as JSON
+
+  # Guards against requests that cannot be found because their IDs are escaped
+  # in the log.
+  Scenario Outline: a request whose ID is <request> is found
+    Given the log of a VM with a request whose ID is <request>
+    Then explaining it by that ID gives the cause deadline
+
+    Examples:
+      | request  |
+      | réq-1    |
+      | 요청 1   |
+      | a"b\c  |
--- a/tests/steps/reporting_explanation.py
+++ b/tests/steps/reporting_explanation.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from eelgrassknot import logs
 from eelgrassknot.reporting import explanation
 from tests import cli_process
 
@@ -86,3 +87,17 @@
             ['explain', '--json', 'q1', *files], folder
         )
         assert json.loads(result.stdout)['reason'] == 'upstream_lost'
+
+
+@behave.given('the log of a VM with a request whose ID is {request}')
+def log_of_request(context, request):
+    pairs = {'request': request, 'reason': 'deadline'}
+    line = logs.format_pairs('call_ended', pairs)
+    context.request = request
+    context.lines = [f'time=2026-01-01T00:00:01.000Z level=INFO {line}']
+
+
+@behave.then('explaining it by that ID gives the cause {reason:w}')
+def explained_by_id(context, reason):
+    found = explanation.explain(context.request, context.lines)
+    assert found.reason == reason, found
