A copy whose handle no header can carry is not continued from

The handle of a moved run comes from an engine as JSON and goes back in a header. With a line feed or white space at an end the request that continues the run could not be encoded, and the run was lost with its engine; an empty handle named no copy. The transfer now counts as failed, so that the run is copied again.

--- a/eelgrassknot/platform/engines.py
+++ b/eelgrassknot/platform/engines.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from eelgrassknot import decoding
+from eelgrassknot import field_values
 from eelgrassknot import ids
 
 __all__ = ['decode_kv_transfer', 'encode_kv_transfer']
@@ -54,12 +55,14 @@
     """Return the handle of the copy, or None if the transfer failed.
 
     A refusal for lack of memory also contains the handle of the source's
-    own copy, but then there is no copy at the target.
+    own copy, but then there is no copy at the target. A copy whose handle no
+    header can carry cannot be used.
     """
     if status != _OK:
         return None
-    return (
+    handle = (
         decoding.decode_json(body, _TransferResponse, 'the response')
         .map(lambda found: str(found.handle))
-        .unwrap_or(None)
+        .unwrap_or('')
     )
+    return handle if handle and field_values.is_valid(handle) else None
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -140,3 +140,17 @@
       | nothing optional                               | None, None, None |
       | warmupExcess 1.5, warmupSlack 5, evacuateMs 9  | 1.5, 5.0, 9.0    |
       | evacuateMs 5000                                | None, None, 5000.0 |
+
+  # Guards against a continuation that cannot be encoded.
+  Scenario Outline: the handle <handle> of a moved run
+    Then the response to a move with the handle <handle> gives <outcome>
+
+    Examples:
+      | handle      | outcome       |
+      | "h7"        | that handle   |
+      | "핸들"      | that handle   |
+      | 7           | that handle   |
+      | "a\r\nb"    | no handle     |
+      | " a"        | no handle     |
+      | ""          | no handle     |
+      | "\ud800"    | no handle     |
--- a/tests/steps/platform_translation.py
+++ b/tests/steps/platform_translation.py
@@ -13,6 +13,7 @@
 from eelgrassknot.forwarding import dialect
 from eelgrassknot import logs
 from eelgrassknot.platform import desired_state
+from eelgrassknot.platform import engines
 from eelgrassknot.platform import servers
 from eelgrassknot.platform import wire
 from eelgrassknot.settings import entry as entry_settings
@@ -293,3 +294,13 @@
     assert len(found) == kept, found
     assert found == _kept_name('a' * length)
     assert found != _kept_name('b' * length)
+
+
+@behave.then('the response to a move with the handle {handle} gives {outcome}')
+def handle_decoded(context, handle, outcome):
+    body = f'{{"handle": {handle}, "created": 3}}'.encode()
+    found = engines.decode_kv_transfer(200, body)
+    if outcome == 'no handle':
+        assert found is None, found
+    else:
+        assert found == str(json.loads(handle)), found
