Request IDs beyond ASCII name the same run in headers and in JSON

A run whose ID is beyond ASCII could not be moved from an engine that leaves: the ID was read from the header as Latin-1 and written into the JSON of the call in these letters, so that no engine knew it. An ID that ended in U+00A0 was taken for one without it.

IDs are now read as UTF-8. One that is not UTF-8 is kept apart from all others, is sent back in its own bytes, and its run is not moved, because JSON cannot name it; its copies serve as before. The stand-in of the servers reads and writes names as UTF-8 too.

--- a/eelgrassknot/field_values.py
+++ b/eelgrassknot/field_values.py
@@ -99,10 +99,7 @@
     """Return the value that a text from ``decode_opaque`` identifies.
 
     Args:
-        text: That text, or one that a field value can carry.
-
-    Raises:
-        ValueError: If the text is neither.
+        text: The text.
 
     Example:
         >>> encode_opaque('é'), encode_opaque('\\x00é')
@@ -110,4 +107,4 @@
     """
     if text.startswith(_NOT_UTF8):
         return text.removeprefix(_NOT_UTF8).encode('latin-1')
-    return encode(text)
+    return text.encode('utf-8')
--- a/eelgrassknot/forwarding/stream_driver.py
+++ b/eelgrassknot/forwarding/stream_driver.py
@@ -3,6 +3,7 @@
 import functools
 
 from eelgrassknot import clock as clocks
+from eelgrassknot import field_values
 from eelgrassknot.forwarding import dialect
 from eelgrassknot.forwarding import error_responses
 from eelgrassknot.forwarding import kv_transfer
@@ -58,7 +59,10 @@
                 resumable=work.route.resumable,
                 max_attempts=work.route.max_attempts,
                 can_copy=engine is not None and engine.can_copy,
-                can_move=engine is not None and engine.can_move,
+                # The call that moves a run names it in JSON.
+                can_move=engine is not None
+                and engine.can_move
+                and field_values.is_valid(work.request),
             ),
             work.deadline_ms,
             context.generator,
--- a/eelgrassknot/platform/wire.py
+++ b/eelgrassknot/platform/wire.py
@@ -149,15 +149,22 @@
         (b'Request-Deadline', str(remaining)),
         (b'Request-Priority', metadata.engine_priority),
         (b'Kv-Backup', metadata.copy_to),
-        (b'Kv-From', metadata.continue_from),
         (b'Last-Event-Id', metadata.last_event),
     ]
     kept += [
-        (name, str(value).encode('latin-1'))
+        (name, str(value).encode('ascii'))
         for name, value in added
         if value is not None
     ]
     kept.append((b'Expect-Instance', field_values.encode(metadata.upstream)))
+    if metadata.continue_from is not None:
+        # The name may be that of the run, which is its request ID.
+        address, _, name = metadata.continue_from.partition('/')
+        source = b'%b/%b' % (
+            address.encode('ascii'),
+            field_values.encode_opaque(name),
+        )
+        kept.append((b'Kv-From', source))
     if metadata.account is not None:
         kept.append((b'Tenant', field_values.encode(metadata.account)))
     return kept
@@ -261,8 +268,9 @@
 
 
 def _parse_request_id(value: bytes | None) -> ids.RequestId | None:
-    found = _decode_text(value)
-    return None if found is None else ids.RequestId(found)
+    if value is None:
+        return None
+    return ids.RequestId(field_values.decode_opaque(value))
 
 
 def _parse_key(value: bytes | None) -> str | None:
--- a/standins/users_http.py
+++ b/standins/users_http.py
@@ -5,7 +5,23 @@
 import socket
 import threading
 
-__all__ = ['Handler', 'Server']
+__all__ = ['Handler', 'Server', 'decode_text', 'encode_text']
+
+
+def decode_text(value: str | None) -> str | None:
+    """Return the text of a header that was read as Latin-1.
+
+    A value that is not UTF-8 is returned as it is.
+    """
+    try:
+        return value and value.encode('latin-1').decode('utf-8')
+    except UnicodeDecodeError:
+        return value
+
+
+def encode_text(text: str) -> str:
+    """Return what the Latin-1 header of a text in UTF-8 spells."""
+    return text.encode('utf-8').decode('latin-1')
 
 
 class Server(http.server.ThreadingHTTPServer):
--- a/standins/users_upstream.py
+++ b/standins/users_upstream.py
@@ -50,7 +50,12 @@
         if self.path == '/api/kv-move':
             self.move(json.loads(body))
             return
-        upstream.seen.append(dict(self.headers.items()))
+        upstream.seen.append(
+            {
+                name: users_http.decode_text(value)
+                for name, value in self.headers.items()
+            }
+        )
         upstream.bodies.append(body)
         request = self.headers['Request-Id']
         fault = upstream.faults.pop(0) if upstream.faults else ''
@@ -58,8 +63,11 @@
             upstream.crash()
         if upstream.broken.is_set():
             self.close_connection = True
-        elif self.headers['Expect-Instance'] != upstream.name:
-            headers = {'Request-Id': request, 'Instance-Id': upstream.name}
+        elif upstream.seen[-1].get('Expect-Instance') != upstream.name:
+            headers = {
+                'Request-Id': request,
+                'Instance-Id': users_http.encode_text(upstream.name),
+            }
             self.answer(421, headers, b'')
         elif upstream.pause_s is not None:
             upstream.turned_away_s.append(time.monotonic())
@@ -130,10 +138,12 @@
     def stream(self, request: str, fault: str) -> None:
         upstream = self.server.owner
         source = self.headers['Kv-From']
+        # Calls that copy the memory name the run in JSON.
+        run = users_http.decode_text(request)
         start = int(self.headers.get('Last-Event-Id', 0))
         if source is not None:
             key = (upstream.address, source)
-            if upstream.platform.copies.pop(key, None) != request:
+            if upstream.platform.copies.pop(key, None) != run:
                 self.answer(503, {'Not-Executed': '1'}, b'')
                 return
             fault = upstream.continuation_fault or fault
@@ -142,7 +152,7 @@
         copy_to = self.headers['Kv-Backup']
         if copy_to is not None and upstream.platform.keeps_copies:
             key = (copy_to, f'{copy_to}/{request}')
-            upstream.platform.copies[key] = request
+            upstream.platform.copies[key] = run
         if fault:
             users_faults.respond(self, request, fault)
             return
--- a/tests/entry_world.py
+++ b/tests/entry_world.py
@@ -206,7 +206,10 @@
 
     def start(self, status, headers):
         self.status = status
-        self.headers = {k.decode().lower(): v.decode() for k, v in headers}
+        self.headers = {
+            name.decode().lower(): value.decode('latin-1')
+            for name, value in headers
+        }
 
     def send(self, data):
         self.body += data
