A state with lone surrogates in its texts comes into force

A desired state in which any text held the escape of a lone surrogate, which the grammar of JSON allows, could not be decoded: no VM put anything of it into force, and the change was missing without a word to its callers. Each such escape is now replaced by NUL and its number, which no header can carry: an account with such a name is refused like others whose name cannot be sent, and all else is in force. The same holds for the entries of upstreams.

--- a/eelgrassknot/decoding.py
+++ b/eelgrassknot/decoding.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import re
 import typing
 
 import msgspec
@@ -17,6 +18,7 @@
     'SmallInt',
     'check_address',
     'decode_json',
+    'escape_surrogates',
     'is_http_status',
     'parse_address',
     'parse_digits',
@@ -31,6 +33,14 @@
 """Number of digits of the longest number that fits into 64 bits with any
 digits."""
 
+_SURROGATE_ESCAPE = re.compile(rb'\\u[dD][89a-fA-F]')
+# A pair of surrogates, a lone one, or another escape.
+_ESCAPE = re.compile(
+    rb'\\(?:u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}'
+    rb'|u([dD][89a-fA-F][0-9a-fA-F]{2})|.)',
+    re.DOTALL,
+)
+
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 """An integer that can be encoded in a message to a peer."""
 SmallInt = typing.Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
@@ -61,6 +71,33 @@
         return result.Err(unreadable(name, str(error)))
 
 
+def escape_surrogates(document: bytes) -> bytes:
+    """Return a JSON document without escapes of lone surrogates.
+
+    The grammar of JSON allows them, but no text in UTF-8 contains one. Each
+    is replaced by NUL and its number, so that texts that differ still do.
+
+    Args:
+        document: The document, which may contain anything.
+
+    References:
+        RFC 8259, "The JavaScript Object Notation (JSON) Data Interchange
+        Format", section 8.2.
+
+    Example:
+        >>> escape_surrogates(rb'["\\ud800", "\\ud83d\\ude00", "\\\\ud800"]')
+        b'["\\\\u0000d800", "\\\\ud83d\\\\ude00", "\\\\\\\\ud800"]'
+    """
+    if not _SURROGATE_ESCAPE.search(document):
+        return document
+    return _ESCAPE.sub(_replace_surrogate, document)
+
+
+def _replace_surrogate(escape: re.Match[bytes]) -> bytes:
+    number = escape[1]
+    return escape[0] if number is None else rb'\u0000' + number.lower()
+
+
 def unreadable(name: str, reason: str) -> exceptions.MalformedAnswerError:
     """Return the error for a document that cannot be decoded.
 
--- a/eelgrassknot/platform/desired_state.py
+++ b/eelgrassknot/platform/desired_state.py
@@ -108,7 +108,9 @@
     """
     try:
         return decoding.decode_json(
-            document, _DesiredState, 'the desired state'
+            decoding.escape_surrogates(document),
+            _DesiredState,
+            'the desired state',
         ).map(_convert_state)
     except ValueError as error:
         # A value that is not in an enumeration.
--- a/eelgrassknot/platform/servers.py
+++ b/eelgrassknot/platform/servers.py
@@ -55,7 +55,8 @@
         return result.Err(
             decoding.unreadable(name, 'no HTTP header can carry its key')
         )
-    match decoding.decode_json(value, _Server, name):
+    document = decoding.escape_surrogates(value)
+    match decoding.decode_json(document, _Server, name):
         case result.Err() as error:
             return error
         case result.Ok(found):
--- a/tests/forwarding/account_names.feature
+++ b/tests/forwarding/account_names.feature
@@ -51,6 +51,8 @@
       | form feed             |
       | unit separator        |
       | DEL                   |
+      | lone surrogate        |
+      | two lone surrogates   |
 
   Scenario: an account whose name cannot be sent may use public routes
     Given a VM in simulated time whose state adds an account with a line feed name
@@ -60,3 +62,10 @@
   Scenario: the check of a state reports the names that cannot be sent first
     Given the state of the stand-in with accounts with a line feed name and a Hangul name
     Then the first fault names the former account, and none the latter
+
+  # Guards against a state of which nothing comes into force because of one
+  # text that is not Unicode.
+  Scenario: a state with lone surrogates in its texts is in force
+    Given a VM in simulated time whose state has lone surrogates in the names of an account, a route, a service and a host, and in a key
+    Then the version of that state is in force
+    And the requests of the other account are served
