Hosts and prefixes beyond ASCII match the requests for them

No request reached a route whose host or prefix is beyond ASCII, 404: the Host header was read as Latin-1, and a prefix was compared with a path that callers have to percent-encode. A prefix with a blank had the same fate.

Hosts are compared as UTF-8 with lowercase ASCII letters on both sides (no other letter has a case in a host, and some become ASCII ones). Prefixes are compared as callers send them: UTF-8, percent-encoded, with uppercase digits. The check of a state takes two prefixes that are sent alike for the same one.

--- a/eelgrassknot/forwarding/forwarder.py
+++ b/eelgrassknot/forwarding/forwarder.py
@@ -245,7 +245,9 @@
         self, exchange: caller_connection.Exchange
     ) -> model.Route | None:
         found = dict(exchange.request.headers)
-        host = found.get(b'host', b'').decode('latin-1')
+        host = field_values.decode(found.get(b'host', b''))
+        if host is None:
+            return None
         target = exchange.request.target.decode('latin-1')
         return self.routes.find(host, target)
 
--- a/eelgrassknot/forwarding/model.py
+++ b/eelgrassknot/forwarding/model.py
@@ -47,7 +47,8 @@
     """One entry of the route table.
 
     Attributes:
-        prefix: Path prefix; begins and ends with a slash.
+        host: Host in its normal form; see ``routing``.
+        prefix: Path prefix in its normal form; begins and ends with a slash.
         timeout_ms: Maximum time that a caller waits for the response.
         objective_ms: Latency objective of a response.
         priority: Priority of its requests; 0 is the most urgent.
--- a/eelgrassknot/platform/desired_state.py
+++ b/eelgrassknot/platform/desired_state.py
@@ -6,6 +6,7 @@
 from eelgrassknot import decoding
 from eelgrassknot import exceptions
 from eelgrassknot.forwarding import model
+from eelgrassknot.forwarding import routing
 from eelgrassknot import ids
 from eelgrassknot.platform import warm_up
 from eelgrassknot.settings import faults
@@ -181,8 +182,8 @@
         shares = (model.WeightedService(ids.ServiceName(found.service), 1.0),)
     return model.Route(
         name=found.name,
-        host=found.host.lower(),
-        prefix=found.prefix,
+        host=routing.normalize_host(found.host),
+        prefix=routing.normalize_path(found.prefix),
         kind=model.RouteKind(found.kind),
         shares=shares,
         timeout_ms=found.timeout_ms,
