A request whose handling fails releases what it holds

An exception that passed through the driver of a request reset the caller's connection and left the driver with the engine memory that it had reserved, which was reported to the peers as load from then on. The driver is now told that the request has been aborted, as when a caller leaves.

One scenario, failed on, passes.

--- a/eelgrassknot/forwarding/caller_connection.py
+++ b/eelgrassknot/forwarding/caller_connection.py
@@ -303,14 +303,17 @@
         """Pass a request to the server; an exception resets the connection.
 
         The caller learns at once that no response will come, but not
-        whether the request was executed.
+        whether the request was executed. What serves the request is told,
+        so that it cancels what it has sent and releases what it holds.
         """
         try:
             self.server.handle(exchange)
         except Exception as error:
             logs.exception('request_failed', error)
-            exchange.end()
-            self.abort()
+            try:
+                exchange.notify_aborted('internal_error')
+            finally:
+                self.abort()
 
     def account(self) -> None:
         """Report what is held, and read ahead only a little."""
--- a/eelgrassknot/reporting/explanation.py
+++ b/eelgrassknot/reporting/explanation.py
@@ -60,6 +60,9 @@
         'the request could not be encoded for an upstream; see '
         'request_not_encoded'
     ),
+    'internal_error': (
+        'the VM failed to handle the request; see request_failed'
+    ),
     'caller_left': 'the caller closed its connection',
     'complete': 'the stream was forwarded to its end',
 }
--- a/tests/forwarding/unsendable_requests.feature
+++ b/tests/forwarding/unsendable_requests.feature
@@ -55,3 +55,11 @@
     When its engine is silent and its continuation raises when it is encoded
     And its engine goes on
     Then the caller has the whole stream
+
+  # Guards against engine memory that stays reserved for a request whose
+  # handling failed.
+  Scenario: an exception while a stream is being sent releases what it holds
+    Given a VM in simulated time whose requests raise while they are being sent
+    When a stream arrives on a real connection
+    Then that connection is reset
+    And no engine memory is reserved
--- a/tests/steps/forwarding_unsendable_requests.py
+++ b/tests/steps/forwarding_unsendable_requests.py
@@ -2,10 +2,17 @@
 
 import json
 import random
+import socket
+import unittest.mock
 
 import behave
 import msgspec
 
+from eelgrassknot import clock as clocks
+from eelgrassknot.forwarding import caller_connection
+from eelgrassknot.forwarding import caller_memory
+from eelgrassknot.forwarding import loop as loops
+from eelgrassknot.forwarding import work
 from tests import entry_world
 
 PATHS = {'booking': '/book/x', 'lookup': '/look/x', 'stream': '/write/x'}
@@ -184,3 +191,46 @@
 def whole_stream(context):
     assert context.exchange.is_over and not context.exchange.is_aborted
     assert context.exchange.body.count(b'data: x') == 6, context.exchange.body
+
+
+@behave.given(
+    'a VM in simulated time whose requests raise while they are being sent'
+)
+def given_broken_send(context):
+    _start(context, 2)
+    context.patch = unittest.mock.patch.object(
+        work, 'send', side_effect=OverflowError
+    )
+
+
+@behave.when('a stream arrives on a real connection')
+def stream_on_real_connection(context):
+    loop = loops.EventLoop(clocks.MonotonicClock())
+    server = unittest.mock.Mock(
+        loop=loop,
+        memory=caller_memory.CallerMemory(1_000_000, 10),
+        limits=caller_connection.DEFAULT_LIMITS,
+        draining=False,
+        handle=context.world.daemon.forwarder.handle,
+    )
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        context.peer = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    context.add_cleanup(context.peer.close)
+    connection = caller_connection.CallerConnection(server, ours)
+    with context.patch as send:
+        connection.received(
+            b'POST /write/x HTTP/1.1\r\nHost: a.example\r\n'
+            b'Credential: key-one\r\nToken-Counts: 2200,40\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+    send.assert_called_once()
+
+
+@behave.then('that connection is reset')
+def connection_reset(context):
+    try:
+        data = context.peer.recv(1)
+    except ConnectionResetError:
+        return
+    raise AssertionError(data)
