--- a/eelgrassknot/frontend/plain_calls.py
+++ b/eelgrassknot/frontend/plain_calls.py
@@ -3,7 +3,9 @@
 import concurrent.futures
 import hashlib
 import http
+import string
 import threading
+import urllib.parse
 
 import result
 from werkzeug import wrappers
@@ -21,12 +23,14 @@
 from eelgrassknot.settings import text as services_text
 from eelgrassknot import states
 
-__all__ = ['call']
+__all__ = ['call', 'upstream_url']
 
 MAX_KEY_CHARACTERS = 255
 QUEUE_POLL_MS = 500.0
 KEY_HEADER = 'Idempotency-Key'
-
+PATH_CHARACTERS = "/:@!$&'()*+,;="
+"""Characters that a path contains as they are (RFC 3986, section 3.3),
+besides letters, digits and ``-._~``."""
 _FORWARDED_HEADERS = ('Content-Type', 'Accept', KEY_HEADER)
 _STATUSES = {
     states.Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -212,10 +216,7 @@
                     )
 
     def _send(self, action: messages.Send) -> messages.Event:
-        query = self._query()
-        url = f'http://{action.upstream.address}/{self.path}'
-        if query:
-            url = f'{url}?{query}'
+        url = upstream_url(action.upstream.address, self.path, self._query())
         started_ms = self.clock.now_ms()
         answer = http_client.request(
             self.context.http.method,
@@ -302,6 +303,27 @@
     )
 
 
+def upstream_url(address: str, path: str, query: str) -> str:
+    """Return the URL of a call.
+
+    Args:
+        address: ``IP:port`` of the upstream.
+        path: Path without percent-encoding, as WSGI passes it.
+        query: Query as the caller sent it, one character for each byte.
+
+    Example:
+        >>> upstream_url('10.0.0.1:80', 'a b/é?', 'x=%20')
+        'http://10.0.0.1:80/a%20b/%C3%A9%3F?x=%20'
+    """
+    url = f'http://{address}/{urllib.parse.quote(path, safe=PATH_CHARACTERS)}'
+    if query:
+        sent = urllib.parse.quote(
+            query, safe=string.punctuation, encoding='latin-1'
+        )
+        url = f'{url}?{sent}'
+    return url
+
+
 def _call_class(
     service: services_text.Service, method: str, path: str, key: str
 ) -> messages.CallClass:
--- a/tests/http_client.feature
+++ b/tests/http_client.feature
@@ -95,3 +95,28 @@
       | a body                          |
       | a body in chunks                |
       | an interim response             |
+
+  # Guards against calls that fail because a header that is passed on is not
+  # ASCII.
+  Scenario: a header beyond ASCII is sent in its own bytes
+    Given a server that answers HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n and closes the connection
+    When a request with the header bytes c3a9e9 is sent to it
+    Then the server got these bytes
+
+  # Guards against calls that fail, or reach another path, because the path is
+  # sent without its percent-encoding.
+  Scenario Outline: the path <path> with the query <query> of a plain call
+    When a plain call with the path <path> and the query <query> is sent to a server
+    Then the server got the target <target>
+
+    Examples:
+      | path      | query   | target              |
+      | a/b       | none    | /a/b                |
+      | a/b       | x=1&y=2 | /a/b?x=1&y=2        |
+      | a b       | x=%20   | /a%20b?x=%20        |
+      | é         | none    | /%C3%A9             |
+      | 예        | x=é     | /%EC%98%88?x=%C3%A9 |
+      | a?b       | none    | /a%3Fb              |
+      | a%b#c     | none    | /a%25b%23c          |
+      | a:@!$&'() | none    | /a:@!$&'()          |
+      | ..        | none    | /..                 |
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -16,11 +16,13 @@
 
     Attributes:
         address: ``IP:port`` of the server.
+        received: First bytes of each connection.
     """
 
     def __init__(self, answer, repeated=b''):
         self.answer = answer
         self.repeated = repeated
+        self.received = []
         self.listener = socket.create_server(('127.0.0.1', 0))
         host, port = self.listener.getsockname()
         self.address = f'{host}:{port}'
@@ -40,7 +42,7 @@
             except OSError:
                 return
             with connection:
-                connection.recv(65_536)
+                self.received.append(connection.recv(65_536))
                 connection.sendall(self.answer)
                 with contextlib.suppress(OSError):
                     while self.repeated:
--- a/tests/steps/http_client.py
+++ b/tests/steps/http_client.py
@@ -6,6 +6,7 @@
 import msgspec
 import result
 
+from eelgrassknot.frontend import plain_calls
 from eelgrassknot import http_client
 from eelgrassknot.upstreams import engine_stream
 from eelgrassknot.upstreams import messages
@@ -163,3 +164,40 @@
 @behave.then('all tokens have come in order')
 def all_tokens(context):
     assert context.stream.events == context.tokens, context.stream.events[:3]
+
+
+@behave.when('a request with the header bytes {digits:x} is sent to it')
+def send_header(context, digits):
+    context.add_cleanup(http_client.close_connections)
+    context.value = bytes.fromhex(f'{digits:x}')
+    found = http_client.request(
+        'GET',
+        f'http://{context.server.address}/x',
+        headers={'X-Name': context.value.decode('latin-1')},
+    )
+    assert isinstance(found, result.Ok), found
+
+
+@behave.then('the server got these bytes')
+def got_header(context):
+    (received,) = context.server.received
+    assert b'\r\nX-Name: %b\r\n' % context.value in received, received
+
+
+@behave.when(
+    'a plain call with the path {path} and the query {query} is sent to a '
+    'server'
+)
+def send_plain_call(context, path, query):
+    given_server(context, r'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    context.add_cleanup(http_client.close_connections)
+    sent = '' if query == 'none' else query.encode('utf-8').decode('latin-1')
+    url = plain_calls.upstream_url(context.server.address, path, sent)
+    found = http_client.request('GET', url)
+    assert isinstance(found, result.Ok), found
+
+
+@behave.then('the server got the target {target}')
+def got_target(context, target):
+    (received,) = context.server.received
+    assert received.startswith(f'GET {target} HTTP/1.1'.encode()), received
