--- a/tests/requests/forwarded_stream.feature
+++ b/tests/requests/forwarded_stream.feature
@@ -422,3 +422,33 @@
     And the head of the new attempt's answer is received
     And the new attempt's answer is complete
     Then the stream is complete
+
+  # Guards against a stream that is placed again and again although no upstream
+  # can be sent its request.
+  Scenario: a stream whose request cannot be encoded is refused at once
+    Given a stream that runs on e1 without a copy
+    When the request of its latest attempt cannot be encoded
+    Then it is refused as not_sendable and as not run
+
+  Scenario: a run goes on if the request that continues it cannot be encoded
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When 800 ms pass without an event
+    And the request of its latest attempt cannot be encoded
+    And event 6 of the first attempt is received
+    Then event 6 is forwarded
+
+  Scenario: a lost run whose continuation cannot be encoded ends
+    Given a stream that runs on e1 with a copy on e2
+    And events 1 to 5 have been received
+    When the engine's connection breaks
+    And the request of its latest attempt cannot be encoded
+    Then the answer is aborted
+
+  Scenario: a resumed stream whose request cannot be encoded ends
+    Given a resumable stream that runs on e1
+    And events 1 to 5 have been received
+    When the engine's connection breaks
+    And it is placed on e2
+    And the request of its latest attempt cannot be encoded
+    Then the answer is aborted
--- a/tests/steps/requests_forwarded_stream.py
+++ b/tests/steps/requests_forwarded_stream.py
@@ -306,3 +306,17 @@
 @behave.then('the stream is sent to {name} to run again from the start')
 def runs_from_start(context, name):
     _check_send(context, name, None, None)
+
+
+@behave.when('the request of its latest attempt cannot be encoded')
+def latest_unsendable(context):
+    attempt = context.simulation.last(messages.Send).attempt
+    context.simulation.handle(messages.Unsendable(attempt, 60_000.0))
+
+
+@behave.then('it is refused as not_sendable and as not run')
+def refused_unsendable(context):
+    (end,) = context.simulation.latest
+    assert end == messages.Fail(
+        states.Outcome.NOT_RUN, 'not_sendable', 60_000.0
+    ), end
