--- a/tests/forwarding/unicode_names.feature
+++ b/tests/forwarding/unicode_names.feature
@@ -26,3 +26,12 @@
     And two entry VMs in two zones with names in Hangul
     When the engine of a stream crashes after some of its events
     Then the stream is whole
+
+  Scenario: 200 accounts with generated names, seed 1
+    Given the platform's stand-in in which all names are in Hangul
+    And two entry VMs in two zones with names in Hangul
+    When 200 accounts are added whose names are generated with seed 1
+    And each of them sends a lookup
+    Then each is served under its own name, or refused if no header can carry that
+    And each refusal names the account in the log
+    And no line of their logs reports an exception
--- a/tests/steps/forwarding_unicode_names.py
+++ b/tests/steps/forwarding_unicode_names.py
@@ -2,6 +2,8 @@
 
 import itertools
 import json
+import random
+import re
 
 import behave
 
@@ -23,6 +25,10 @@
 )
 SOON_S = 10.0
 FIRST_EVENTS = 12
+LETTERS = (
+    *'abc-.,;=" \t\r\n\0\x0b\x1f\x7f',
+    *'\u0080\u0085\u00a0é߀Ł가힣一\u0301\u200b\u2028\ufeff\uffff😀\ud800',
+)
 _numbers = itertools.count(1)
 
 
@@ -94,11 +100,10 @@
     _send_all(context, OTHER_KEY)
 
 
-@behave.when('an account is added whose name contains a line feed')
-def add_account(context):
+def _add_accounts(context, accounts):
     state = _state()
     state['version'] = 2
-    state['tenants'].append({'name': '가\n나', 'apiKeys': [OTHER_KEY]})
+    state['tenants'] += accounts
     context.platform.put_state(state)
     for vm in context.vms.values():
         entry_process.wait_until(
@@ -108,6 +113,77 @@
         )
 
 
+@behave.when('an account is added whose name contains a line feed')
+def add_account(context):
+    _add_accounts(context, [{'name': '가\n나', 'apiKeys': [OTHER_KEY]}])
+
+
+@behave.when(
+    '{count:d} accounts are added whose names are generated with seed {seed:d}'
+)
+def add_generated_accounts(context, count, seed):
+    generator = random.Random(seed)
+    context.accounts = {}
+    while len(context.accounts) < count:
+        length = generator.randint(1, 6)
+        name = ''.join(generator.choices(LETTERS, k=length))
+        context.accounts.setdefault(name, f'key-{len(context.accounts)}')
+    _add_accounts(
+        context,
+        [
+            {'name': name, 'apiKeys': [key]}
+            for name, key in context.accounts.items()
+        ],
+    )
+
+
+@behave.when('each of them sends a lookup')
+def send_lookups(context):
+    vms = itertools.cycle(context.vms.values())
+    context.lookups = {}
+    for name, key in context.accounts.items():
+        context.lookups[name] = _send(next(vms), KINDS[1], key)
+
+
+def _is_sendable(name):
+    """Return whether a header can carry a name (RFC 9110, section 5.5)."""
+    if re.search('[\0-\x08\n-\x1f\x7f\ud800-\udfff]', name):
+        return False
+    return name == name.strip(' \t')
+
+
+@behave.then(
+    'each is served under its own name, or refused if no header can carry that'
+)
+def served_or_refused(context):
+    seen = {
+        headers['Request-Id']: headers['Tenant']
+        for server in context.servers
+        for headers in server.seen
+    }
+    for name, (request, answer) in context.lookups.items():
+        if _is_sendable(name):
+            assert answer.status == 200, (ascii(name), answer.status)
+            assert seen[request] == name, (ascii(name), seen[request])
+            continue
+        assert answer.status == 503, (ascii(name), answer.status)
+        assert request not in seen, ascii(name)
+    served = sum(map(_is_sendable, context.lookups))
+    assert 0 < served < len(context.lookups), served
+
+
+@behave.then('each refusal names the account in the log')
+def refusals_logged(context):
+    text = ''.join(vm.log() for vm in context.vms.values())
+    for name in context.lookups:
+        if not _is_sendable(name):
+            # The decoder replaces each lone surrogate.
+            read = re.sub(
+                '[\ud800-\udfff]', lambda each: f'\0{ord(each[0]):x}', name
+            )
+            assert f'account={json.dumps(read)} ' in text, ascii(name)
+
+
 @behave.when('the engine of a stream crashes after some of its events')
 def engine_crashes(context):
     vm = next(iter(context.vms.values()))
