A row whose key is no Unicode does not stop the reading of its table

A key with the escape of a lone surrogate made the store's whole response undecodable, and with it the table and its feed. The key is read like other texts that no header can carry, so that only its own entry is not used.

--- a/eelgrassknot/platform/store.py
+++ b/eelgrassknot/platform/store.py
@@ -302,7 +302,9 @@
 def _decode_response(
     body: bytes,
 ) -> result.Result[_Response, row_store.StoreError]:
-    return decoding.decode_json(body, _Response, "the store's response")
+    # A key that another program wrote may contain a lone surrogate.
+    document = decoding.escape_surrogates(body)
+    return decoding.decode_json(document, _Response, "the store's response")
 
 
 def _decode_row(row: _Row) -> row_store.StoreRow:
