--- a/eelgrassknot/forwarding/state_check.py
+++ b/eelgrassknot/forwarding/state_check.py
@@ -46,8 +46,8 @@
     return [
         faults.Fault(
             f'$.accounts[{faults.quote(account.account)}]',
-            'no HTTP header can carry the name, so that all requests of the '
-            'account are refused',
+            'no HTTP header can carry the name, so that requests with a key '
+            'of the account are refused',
             'write a name without control characters, and without white '
             'space at its ends',
         )
@@ -66,7 +66,8 @@
             faults.item_path(
                 f'$.accounts[{faults.quote(account.account)}].keys', index
             ),
-            'no HTTP header can carry the key, so that no request has it',
+            'no request can present the key: it is empty, or no HTTP header '
+            'can carry it',
             'give out a key without control characters, and without white '
             'space at its ends',
         )
--- a/eelgrassknot/frontend/plain_calls.py
+++ b/eelgrassknot/frontend/plain_calls.py
@@ -27,10 +27,10 @@
 
 MAX_KEY_CHARACTERS = 255
 QUEUE_POLL_MS = 500.0
-KEY_HEADER = 'Idempotency-Key'
 PATH_CHARACTERS = "/:@!$&'()*+,;="
 """Characters that a path contains as they are (RFC 3986, section 3.3),
 besides letters, digits and ``-._~``."""
+KEY_HEADER = 'Idempotency-Key'
 _FORWARDED_HEADERS = ('Content-Type', 'Accept', KEY_HEADER)
 _STATUSES = {
     states.Outcome.NOT_RUN: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/eelgrassknot/requests/forwarded_stream.py
+++ b/eelgrassknot/requests/forwarded_stream.py
@@ -444,7 +444,7 @@
         run.is_lost = True
         if self.successor is not None:
             return []
-        # No request of it has left that would have to be cancelled.
+        # Nothing of the run has been sent, so it is not cancelled.
         self.run = None
         return self._give_up(
             states.RefusalReason.NOT_SENDABLE.value, event.retry_after_ms
